--- /dev/null
+++ b/cmd/brasskeel/control.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"brasskeel/internal/config"
+	"brasskeel/internal/coordination"
+	"brasskeel/internal/transport"
+)
+
+func logLevel(name string) (slog.Level, error) {
+	switch name {
+	case "", "info":
+		return slog.LevelInfo, nil
+	case "error":
+		return slog.LevelError, nil
+	case "debug":
+		return slog.LevelDebug, nil
+	}
+	return 0, fmt.Errorf("LOG_LEVEL is %q, not error, info or debug", name)
+}
+
+// control ties the core to the network: what happens goes in as steps, and
+// what the steps ask for is done.
+type control struct {
+	cfg   *config.Settings
+	node  *coordination.Node
+	loop  *transport.Loop
+	peers *transport.Peers
+	timer *time.Timer
+	armed time.Time
+}
+
+func runControl(cfg *config.Settings, op config.Operator, level slog.Level) error {
+	// The program's share is a fraction of one core: more threads would only
+	// take turns. Half of the memory is left for the runtime and the sockets.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(cfg.MemoryBytes * 6 / 10)
+	debug.SetGCPercent(200)
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.Name)
+
+	c := &control{cfg: cfg}
+	c.node = coordination.New(cfg, op, log, rand.Uint64(), time.Now())
+	c.loop = transport.NewLoop(cfg.Listen, cfg.State, cfg.Sockets, c, log)
+	var addrs []string
+	for _, p := range cfg.Peers {
+		addrs = append(addrs, p.Addr)
+	}
+	ready := make(chan struct{})
+	c.timer = time.AfterFunc(time.Hour, func() { c.loop.Post(c.tick) })
+	c.timer.Stop()
+	var err error
+	c.peers, err = transport.NewPeers(cfg.PeerListen, addrs, func(line []byte) {
+		<-ready
+		c.loop.Post(func() { c.apply(c.node.Peer(time.Now(), line)) })
+	}, log)
+	if err != nil {
+		return err
+	}
+	c.loop.OnReady = func() { close(ready) }
+	log.Info("starting", "listen", cfg.Listen, "back", cfg.PeerListen, "zone", cfg.Zone)
+	if err := c.loop.Run(); err != nil {
+		return err
+	}
+	return errors.New("the event loop ended")
+}
+
+// Ready implements transport.Handler.
+func (c *control) Ready() { c.apply(c.node.Start(time.Now())) }
+
+// Request implements transport.Handler.
+func (c *control) Request(id uint64, method, target string, body []byte) {
+	c.apply(c.node.Request(time.Now(), id, method, target, body))
+}
+
+func (c *control) tick() {
+	c.armed = time.Time{}
+	c.apply(c.node.Tick(time.Now()))
+}
+
+func (c *control) apply(e coordination.Effects) {
+	for i := range e.Replies {
+		r := &e.Replies[i]
+		c.loop.Reply(r.ID, r.Status, r.RetryAfter, r.Body)
+	}
+	for i := range e.Calls {
+		k := &e.Calls[i]
+		addr := k.Addr
+		switch k.To {
+		case coordination.State:
+			addr = c.cfg.State
+		case coordination.Cloud:
+			addr = c.cfg.Cloud
+		}
+		id := k.ID
+		c.loop.Call(addr, k.Method, k.Target, k.Body, k.Timeout, func(status int, body []byte, err error) {
+			c.apply(c.node.Result(time.Now(), id, coordination.Outcome{Status: status, Body: body,
+				Answered: err == nil, NotSent: errors.Is(err, transport.ErrNotSent)}))
+		})
+	}
+	for i := range e.Publishes {
+		c.peers.Publish(e.Publishes[i].Body)
+	}
+	if next := c.node.Next(); !next.IsZero() && (c.armed.IsZero() || next.Before(c.armed)) {
+		c.armed = next
+		c.timer.Reset(max(0, time.Until(next)))
+	}
+}
--- /dev/null
+++ b/cmd/brasskeel/main.go
@@ -0,0 +1,84 @@
+// Brasskeel is a cluster scheduler: controllers that place the tasks of jobs
+// on rented machines.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"brasskeel/internal/config"
+)
+
+// version is the program's version.
+const version = "0.1.0"
+
+func main() {
+	root := &cobra.Command{
+		Use:           "brasskeel",
+		Short:         "A cluster scheduler",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(controlCommand(), checkCommand(), versionCommand())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "brasskeel:", err)
+		os.Exit(1)
+	}
+}
+
+// settingsFlags adds the flags that name the settings files.
+func settingsFlags(c *cobra.Command) (settings, operator *string) {
+	settings = c.Flags().String("config", "", "the platform's settings (TOML)")
+	operator = c.Flags().String("operator", "", "the operators' settings (JSON)")
+	if err := c.MarkFlagRequired("config"); err != nil {
+		panic(err)
+	}
+	return settings, operator
+}
+
+func load(settings, operator string) (*config.Settings, config.Operator, error) {
+	s, err := config.Load(settings)
+	if err != nil {
+		return nil, config.Operator{}, err
+	}
+	o, err := config.LoadOperator(operator)
+	return s, o, err
+}
+
+func controlCommand() *cobra.Command {
+	c := &cobra.Command{Use: "control", Short: "Run a controller", Args: cobra.NoArgs}
+	settings, operator := settingsFlags(c)
+	c.RunE = func(*cobra.Command, []string) error {
+		level, err := logLevel(os.Getenv("LOG_LEVEL"))
+		if err != nil {
+			return err
+		}
+		s, o, err := load(*settings, *operator)
+		if err != nil {
+			return err
+		}
+		return runControl(s, o, level)
+	}
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	c := &cobra.Command{Use: "check", Short: "Check settings files", Args: cobra.NoArgs}
+	settings, operator := settingsFlags(c)
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		s, _, err := load(*settings, *operator)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "settings of %s are good: %d other controllers, %d teams\n", s.Name, len(s.Peers), len(s.Teams))
+		return nil
+	}
+	return c
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "brasskeel", version) }}
+}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+//go:embed operator.schema.json
+var operatorSchema []byte
+
+// Operator holds what operators may set beyond the platform's settings.
+type Operator struct {
+	// ImageWeight and RoomWeight are the weights of the placement score: of
+	// the cached share of the image, and of the machine's free share.
+	ImageWeight float64 `json:"imageWeight"`
+	RoomWeight  float64 `json:"roomWeight"`
+	// HeadroomShare is the free room kept beyond what runs, as a share of it.
+	HeadroomShare float64 `json:"headroomShare"`
+	// IdleSeconds is how long an unneeded empty machine is kept.
+	IdleSeconds float64 `json:"idleSeconds"`
+	// LeaderLeaseSeconds is how long a leader that fell silent stays leader.
+	LeaderLeaseSeconds float64 `json:"leaderLeaseSeconds"`
+	// Spot allows renting spot machines for jobs that may use them.
+	Spot bool `json:"spot"`
+}
+
+// DefaultOperator is used where operators set nothing.
+func DefaultOperator() Operator {
+	return Operator{ImageWeight: 1, RoomWeight: 1, HeadroomShare: 0.15, IdleSeconds: 30, LeaderLeaseSeconds: 3, Spot: true}
+}
+
+// Idle is IdleSeconds as a duration.
+func (o *Operator) Idle() time.Duration { return seconds(o.IdleSeconds) }
+
+// LeaderLease is LeaderLeaseSeconds as a duration.
+func (o *Operator) LeaderLease() time.Duration { return seconds(o.LeaderLeaseSeconds) }
+
+// LoadOperator reads the operators' settings; an empty path gives the defaults.
+func LoadOperator(path string) (Operator, error) {
+	o := DefaultOperator()
+	if path == "" {
+		return o, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return o, err
+	}
+	return o, ParseOperator(raw, &o)
+}
+
+// ParseOperator checks raw against the schema and sets what it names in o.
+func ParseOperator(raw []byte, o *Operator) error {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(operatorSchema))
+	if err != nil {
+		return err
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource("operator.schema.json", doc); err != nil {
+		return err
+	}
+	schema, err := compiler.Compile("operator.schema.json")
+	if err != nil {
+		return err
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
+	if err != nil {
+		return fmt.Errorf("operator settings: %w", err)
+	}
+	if err := schema.Validate(value); err != nil {
+		return fmt.Errorf("operator settings: %w", err)
+	}
+	return json.Unmarshal(raw, o)
+}
--- /dev/null
+++ b/internal/coordination/journal.go
@@ -0,0 +1,439 @@
+package coordination
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// lazyDelay is how long a record that nobody waits for may stay unwritten, so
+// that several changes share one write.
+const lazyDelay = 700 * time.Millisecond
+
+// maxUnrecorded bounds the placements that wait to be recorded.
+const maxUnrecorded = 600
+
+// journal writes the leader's records, one transaction at a time so that they
+// apply in order. Every transaction is conditional on the leader key's
+// version, so one that is applied late, after another leader was elected,
+// fails; and every record on its own version, so one that is applied after we
+// gave it up can't overwrite a newer one.
+type journal struct {
+	l       *lead
+	budget  *bookkeeping.Budget
+	urgent  []*chunk
+	lazy    []*chunk
+	ends    []*job     // to be recorded as done
+	puts    []*machine // machine records to be written
+	extra   []protocol.Op
+	removes []string // keys
+	after   []afterRemoval
+	busy    bool
+	pause   time.Time
+	wake    *timer
+	unsaved int
+}
+
+// afterRemoval drops a job once the removal of its last key is applied.
+type afterRemoval struct {
+	key string
+	job *job
+}
+
+func (g *journal) init(l *lead) {
+	g.l = l
+	w := l.n.cfg.StateWriteRPS
+	g.budget = bookkeeping.NewBudget(w*0.75, w*0.6, l.n.now)
+}
+
+// touch wants a chunk written soon.
+func (g *journal) touch(c *chunk) {
+	if !c.dirty || c.lazy {
+		c.dirty, c.lazy = true, false
+		g.urgent = append(g.urgent, c)
+	}
+}
+
+// touchLazy wants a chunk written some time.
+func (g *journal) touchLazy(c *chunk) {
+	if !c.dirty {
+		c.dirty, c.lazy, c.due = true, true, g.l.n.now.Add(lazyDelay)
+		g.lazy = append(g.lazy, c)
+	}
+}
+
+// start wants a placement recorded; its start is sent after that.
+func (g *journal) start(a *attempt) {
+	c := a.job.chunk(a.task)
+	c.starts = append(c.starts, a)
+	g.unsaved++
+	g.touch(c)
+}
+
+func (g *journal) finish(j *job)         { g.ends = append(g.ends, j) }
+func (g *journal) putMachine(m *machine) { g.puts = append(g.puts, m) }
+func (g *journal) remove(key string)     { g.removes = append(g.removes, key) }
+
+// removeJob removes a job's records, the job's own last: by it a later leader
+// finds the others.
+func (g *journal) removeJob(j *job) {
+	for _, c := range j.chunks {
+		if c != nil && (c.version > 0 || c.inFlight || !c.known) {
+			g.remove(bookkeeping.KeyChunk(j.ID, c.index))
+		}
+	}
+	key := bookkeeping.KeyActive(j.ID)
+	g.remove(key)
+	g.after = append(g.after, afterRemoval{key, j})
+}
+
+// batch is what one transaction holds.
+type batch struct {
+	txn     protocol.Txn
+	bytes   int
+	chunks  []*chunk
+	starts  [][]*attempt // per chunk
+	saved   [][]*task    // per chunk
+	ends    []*job
+	puts    []*machine
+	extra   []protocol.Op
+	removes []string
+}
+
+func (b *batch) op(op protocol.Op) {
+	b.txn.Then = append(b.txn.Then, op)
+	b.bytes += len(op.Put) + len(op.Delete) + len(op.Value) + 60
+}
+
+func (b *batch) when(key string, version uint64) {
+	for _, c := range b.txn.If {
+		if c.Key == key {
+			return
+		}
+	}
+	b.txn.If = append(b.txn.If, protocol.Condition{Key: key, Version: version})
+	b.bytes += len(key) + 50
+}
+
+// flush sends the next transaction if there is something to write, none is
+// under way, and the budget allows.
+func (g *journal) flush() {
+	l, n := g.l, g.l.n
+	if g.busy || !l.alive() || l.phase == loading {
+		return
+	}
+	if n.now.Before(g.pause) {
+		g.wakeIn(g.pause.Sub(n.now))
+		return
+	}
+	lazyDue := time.Duration(-1)
+	if len(g.lazy) > 0 {
+		lazyDue = max(0, g.lazy[0].due.Sub(n.now))
+	}
+	if len(g.urgent)+len(g.ends)+len(g.puts)+len(g.extra)+len(g.removes) == 0 && lazyDue != 0 {
+		if lazyDue > 0 {
+			g.wakeIn(lazyDue)
+		}
+		return
+	}
+	room := min(n.cfg.TxnOps, int(g.budget.Available(n.now)))
+	if room < 1 {
+		g.wakeIn(g.budget.Wait(n.now, 1) + time.Millisecond)
+		return
+	}
+	b := &batch{}
+	b.when(bookkeeping.KeyLeader, l.version)
+	fits := func() bool { return len(b.txn.Then) < room && b.bytes < 48<<10 }
+	for len(g.ends) > 0 && fits() {
+		j := g.ends[0]
+		g.ends = g.ends[1:]
+		if j.outcome != 0 {
+			continue
+		}
+		b.ends = append(b.ends, j)
+		b.when(bookkeeping.KeyOutcome(j.ID), 0)
+		b.op(protocol.Op{Put: bookkeeping.KeyOutcome(j.ID), Value: bookkeeping.EncodeOutcome(protocol.Done)})
+	}
+	for len(g.puts) > 0 && fits() {
+		m := g.puts[0]
+		g.puts = g.puts[1:]
+		if m.removed {
+			continue
+		}
+		b.puts = append(b.puts, m)
+		b.op(protocol.Op{Put: bookkeeping.KeyMachine(m.name), Value: bookkeeping.Encode(bookkeeping.Machine{
+			Type: m.typ, Zone: m.zone, Spot: m.spot, Rented: bookkeeping.Millis(m.rented)})})
+	}
+	if len(g.urgent) > 1 {
+		slices.SortStableFunc(g.urgent, func(a, b *chunk) int { return int(b.job.Priority) - int(a.job.Priority) })
+	}
+	for len(g.urgent) > 0 && fits() {
+		c := g.urgent[0]
+		g.urgent = g.urgent[1:]
+		g.add(b, c)
+	}
+	for len(g.lazy) > 0 && fits() {
+		c := g.lazy[0]
+		g.lazy = g.lazy[1:]
+		if c.lazy { // else it became urgent and is in the other list
+			g.add(b, c)
+		}
+	}
+	for len(g.extra) > 0 && fits() {
+		b.extra = append(b.extra, g.extra[0])
+		b.op(g.extra[0])
+		g.extra = g.extra[1:]
+	}
+	for len(g.removes) > 0 && fits() {
+		b.removes = append(b.removes, g.removes[0])
+		b.op(protocol.Op{Delete: g.removes[0]})
+		g.removes = g.removes[1:]
+	}
+	if len(b.txn.Then) == 0 {
+		return
+	}
+	g.busy = true
+	g.budget.Spend(n.now, float64(len(b.txn.Then)))
+	n.storeTxn(&b.txn, func(r txnResult, revision uint64, failed []string) {
+		if !l.alive() {
+			return
+		}
+		g.busy = false
+		g.settle(b, r, revision, failed)
+	})
+}
+
+// add puts a chunk's record into a batch. Placements that were given up by now
+// are dropped here, before anything of them is recorded or sent.
+func (g *journal) add(b *batch, c *chunk) {
+	l := g.l
+	j := c.job
+	c.dirty, c.lazy = false, false
+	starts := c.starts
+	c.starts = nil
+	g.unsaved -= len(starts)
+	keep := starts[:0]
+	for _, a := range starts {
+		if j.task(a.task).live != a {
+			continue
+		}
+		if a.stop || j.outcome != 0 {
+			l.detach(a, "given up before it was recorded")
+			continue
+		}
+		keep = append(keep, a)
+	}
+	c.dirty, c.lazy = false, false // detach may have asked for a lazy write
+	if j.removed || j.outcome != 0 {
+		return
+	}
+	if j.finishing && len(keep) == 0 {
+		return // the outcome says it all
+	}
+	c.inFlight = true
+	b.chunks = append(b.chunks, c)
+	b.starts = append(b.starts, keep)
+	var saved []*task
+	r := bookkeeping.Chunk{}
+	done := make([]bool, len(c.tasks))
+	for i := range c.tasks {
+		t := &c.tasks[i]
+		done[i] = t.done
+		if t.done {
+			if !t.saved {
+				saved = append(saved, t)
+			}
+			continue
+		}
+		if t.attempt > 0 {
+			tr := bookkeeping.TaskRecord{Offset: i, Attempt: t.attempt}
+			if t.live != nil {
+				tr.Machine = t.live.machine.name
+			}
+			r.Tasks = append(r.Tasks, tr)
+		}
+	}
+	r.SetDone(done)
+	b.saved = append(b.saved, saved)
+	key := bookkeeping.KeyChunk(j.ID, c.index)
+	b.when(key, c.version)
+	// A start is never recorded, and so never sent, once the job is over.
+	b.when(bookkeeping.KeyOutcome(j.ID), 0)
+	b.op(protocol.Op{Put: key, Value: bookkeeping.Encode(r)})
+}
+
+// settle acts on what came of a transaction.
+func (g *journal) settle(b *batch, r txnResult, revision uint64, failed []string) {
+	l, n := g.l, g.l.n
+	switch r {
+	case txnApplied:
+		for i, c := range b.chunks {
+			c.version, c.known, c.inFlight = revision, true, false
+			for _, t := range b.saved[i] {
+				t.saved = true
+			}
+			for _, a := range b.starts[i] {
+				if c.job.task(a.task).live != a {
+					continue
+				}
+				a.recorded = true
+				if a.stop {
+					l.detach(a, "given up before it was sent")
+					continue
+				}
+				l.directSoon(a.machine)
+			}
+		}
+		for _, m := range b.puts {
+			if !m.recorded {
+				m.recorded = true
+				l.askPlace()
+			}
+		}
+		for _, j := range b.ends {
+			n.admission.setFinal(j.ID, protocol.Done)
+			l.jobOver(j, protocol.Done)
+		}
+		for _, key := range b.removes {
+			for i, w := range g.after {
+				if w.key == key {
+					g.after = slices.Delete(g.after, i, i+1)
+					l.forgetJob(w.job)
+					break
+				}
+			}
+		}
+		return
+	case txnFailed:
+		if slices.Contains(failed, bookkeeping.KeyLeader) {
+			n.stepDown("the leader key has changed")
+			return
+		}
+		g.requeue(b, func(c *chunk) bool { return slices.Contains(failed, bookkeeping.KeyChunk(c.job.ID, c.index)) })
+		for _, key := range failed {
+			if id, ok := cutPrefix(key, bookkeeping.PrefixOutcome); ok {
+				g.readOutcome(id)
+			}
+		}
+	case txnRefused:
+		g.pause = n.now.Add(150*time.Millisecond + n.jitter(100*time.Millisecond))
+		g.requeue(b, nil)
+	default:
+		// It may have been applied or may yet be: read what each record is
+		// now. If the transaction comes later after all, its conditions fail
+		// as soon as the records were written again.
+		n.log.Info("a transaction got no answer", "ops", len(b.txn.Then))
+		g.requeue(b, func(*chunk) bool { return true })
+	}
+}
+
+// requeue puts what a batch held back to be written, and reads the versions of
+// the records that reread picks first.
+func (g *journal) requeue(b *batch, reread func(*chunk) bool) {
+	var unsure []*chunk
+	for i, c := range b.chunks {
+		for _, a := range b.starts[i] {
+			if c.job.task(a.task).live == a {
+				c.starts = append(c.starts, a)
+				g.unsaved++
+			}
+		}
+		if reread != nil && reread(c) {
+			c.known = false
+			unsure = append(unsure, c)
+			continue
+		}
+		c.inFlight = false
+		g.touch(c)
+	}
+	g.ends = append(b.ends, g.ends...)
+	g.puts = append(b.puts, g.puts...)
+	g.extra = append(b.extra, g.extra...)
+	g.removes = append(b.removes, g.removes...)
+	if len(unsure) == 0 {
+		return
+	}
+	g.busy = true
+	left := len(unsure)
+	for _, c := range unsure {
+		g.readVersion(c, func() {
+			if left--; left == 0 {
+				g.busy = false
+			}
+			c.inFlight = false
+			g.touch(c)
+		})
+	}
+}
+
+// readVersion learns a chunk record's version, however often it must ask.
+func (g *journal) readVersion(c *chunk, done func()) {
+	l, n := g.l, g.l.n
+	n.storeGet(bookkeeping.KeyChunk(c.job.ID, c.index), func(it protocol.Item, found, ok bool) {
+		if !l.alive() {
+			return
+		}
+		if !ok {
+			n.after(200*time.Millisecond+n.jitter(100*time.Millisecond), func() {
+				if l.alive() {
+					g.readVersion(c, done)
+				}
+			})
+			return
+		}
+		c.version, c.known = 0, true
+		if found {
+			c.version = it.Version
+		}
+		done()
+	})
+}
+
+// readOutcome learns how a job ended that another node ended.
+func (g *journal) readOutcome(id string) {
+	l, n := g.l, g.l.n
+	n.storeGet(bookkeeping.KeyOutcome(id), func(it protocol.Item, found, ok bool) {
+		if !l.alive() {
+			return
+		}
+		if ok && found {
+			l.jobKey(it.Key, it.Value, true)
+		} else {
+			n.after(200*time.Millisecond, func() {
+				if l.alive() && l.jobs[id] != nil && l.jobs[id].outcome == 0 {
+					g.readOutcome(id)
+				}
+			})
+		}
+	})
+	// Until it is known, nothing of the job is written: its condition fails.
+	g.pause = n.now.Add(50 * time.Millisecond)
+}
+
+func (g *journal) wakeIn(d time.Duration) {
+	at := g.l.n.now.Add(max(d, time.Millisecond))
+	if g.wake != nil && !g.wake.at.After(at) {
+		return
+	}
+	if g.wake != nil {
+		g.wake.run = nil
+	}
+	var t *timer
+	t = g.l.n.after(max(d, time.Millisecond), func() {
+		if g.wake == t {
+			g.wake = nil
+		}
+	})
+	g.wake = t
+}
+
+// saveTypes keeps the machine types for nodes that can't reach the cloud.
+func (g *journal) saveTypes(types []protocol.MachineType) {
+	raw := bookkeeping.Encode(types)
+	if len(raw) <= g.l.n.cfg.ValueBytes {
+		g.extra = append(g.extra, protocol.Op{Put: bookkeeping.KeyTypes, Value: json.RawMessage(raw)})
+	}
+}
--- /dev/null
+++ b/internal/coordination/lead.go
@@ -0,0 +1,586 @@
+package coordination
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// phase is how far a new leader has come.
+type phase uint8
+
+const (
+	loading  phase = iota + 1 // reads the records
+	settling                  // waits for every worker's report before placing
+	active
+)
+
+// lead is what a leader keeps in memory. All of it is rebuilt from the state
+// service and from reports by the next one.
+type lead struct {
+	n          *Node
+	term       uint64
+	version    uint64 // of the leader key; every write of ours demands it
+	lease      uint64
+	validUntil time.Time // until when no one else can have been elected
+	elected    time.Time
+	phase      phase
+	settled    time.Time
+
+	jobs      map[string]*job
+	order     []*job // by submission
+	teams     map[string]*usage
+	machines  map[string]*machine
+	fleetList []*machine           // the same, in the order they became known
+	gone      map[string]time.Time // machines proven gone, while lists may still show them
+	journal   journal
+	fleet     fleet
+
+	placeAsked bool
+	placeAt    *timer
+	stepDirect []*machine // machines with orders to send at the end of the step
+}
+
+// usage is what a team's attempts take, those not proven gone included.
+type usage struct{ cpus, gpus float64 }
+
+// job is an unfinished job.
+type job struct {
+	*protocol.Job
+	submitted time.Time
+	size      int // tasks per chunk
+	chunks    []*chunk
+	outcome   protocol.JobState // final state that is recorded; 0 while there is none
+	finishing bool              // the outcome "done" is being written
+	removed   bool              // its records are being removed
+
+	doneCount int
+	running   int
+	live      int            // attempts not proven gone
+	waiting   []int          // tasks to be started again
+	next      int            // first task that was never started
+	zones     map[string]int // live attempts and their zones
+	within    bool           // the team's guarantee, as of the last placement
+	errors    int            // since the last success
+	failedOn  map[string]struct{}
+	notBefore time.Time
+	started   int // attempts that ever ran
+}
+
+// chunk is a run of a job's tasks that share a record.
+type chunk struct {
+	job      *job
+	index    int
+	tasks    []task
+	version  uint64 // of its key; 0: no record yet
+	known    bool   // version is sure
+	dirty    bool
+	lazy     bool // no one waits for it; write by due
+	due      time.Time
+	inFlight bool
+	starts   []*attempt // placed since the last write
+}
+
+type task struct {
+	attempt uint64 // the latest number used
+	live    *attempt
+	done    bool
+	saved   bool // recorded as done
+}
+
+// attempt is one try at a task on a machine, until proven gone.
+type attempt struct {
+	job     *job
+	task    int
+	number  uint64
+	machine *machine
+	placed  time.Time
+
+	recorded  bool // in the state service: its start may be sent
+	inherited bool // recorded by an earlier leader; whether it was sent is unknown
+	seen      bool // the worker reported it
+	state     protocol.TaskState
+	since     time.Time // start of the state
+
+	// How its start went out. A start in a report's answer is executed before
+	// the worker's next report or never; a direct one may be executed late.
+	sentSession uint64
+	sentSeq     uint64 // of the report whose answer carried it
+	direct      bool   // a direct start awaits its response
+	directToken uint64 // of an unanswered direct start; 0 when none
+
+	stop     bool
+	grace    time.Duration
+	stopSent time.Time
+}
+
+type taskKey struct {
+	job  string
+	task int
+}
+
+func (n *Node) becomeLeader(term, version, lease uint64, validUntil time.Time) {
+	l := &lead{n: n, term: term, version: version, lease: lease, validUntil: validUntil, elected: n.now, phase: loading,
+		jobs: map[string]*job{}, teams: map[string]*usage{}, machines: map[string]*machine{},
+		gone: map[string]time.Time{}}
+	for name := range n.teams {
+		l.teams[name] = &usage{}
+	}
+	l.journal.init(l)
+	l.fleet.init(l)
+	n.lead = l
+	n.log.Info("leading", "term", term)
+	n.publish()
+	l.renew()
+	l.load()
+	l.every(250*time.Millisecond, l.watchMachines)
+	l.every(time.Second, l.fleetStep)
+}
+
+func (l *lead) alive() bool { return l.n.lead == l }
+
+// every runs f each d while this leadership lasts.
+func (l *lead) every(d time.Duration, f func()) {
+	l.n.after(d, func() {
+		if l.alive() {
+			f()
+			l.every(d, f)
+		}
+	})
+}
+
+// grace is how long a leader whose lease may have ended goes on answering
+// reports, so that an outage of the state service doesn't end every task. A
+// cancellation may meanwhile be accepted elsewhere, and its tasks end a worker
+// lease after the last answer: lease, grace and worker lease together stay
+// within the time a cancellation has.
+func (l *lead) grace() time.Duration {
+	c := l.n.cfg
+	return max(0, c.CancelWithin-c.WorkerLease-drift(2*c.WorkerLease)-l.n.op.LeaderLease()-2*time.Second)
+}
+
+// entitled reports whether this node may still answer workers.
+func (l *lead) entitled() bool { return !l.n.now.After(l.validUntil.Add(l.grace())) }
+
+// silentProof is when a machine that has been silent since the election has
+// certainly ended its tasks: the leader before may have answered it until its
+// own grace ended.
+func (l *lead) silentProof(m *machine) time.Time {
+	c := l.n.cfg
+	last := l.elected.Add(l.grace())
+	if m.answered.After(last) {
+		last = m.answered
+	} else if m.heardToken {
+		// It has seen our token, so no earlier leader's answer counts.
+		last = m.answered
+	}
+	return last.Add(c.WorkerLease + drift(c.WorkerLease) + proofMargin)
+}
+
+func (l *lead) token() uint64 { return l.term << 16 }
+
+func (l *lead) load() {
+	n := l.n
+	n.storeList(bookkeeping.PrefixJobs, l.alive, func(items []protocol.Item, revision uint64) {
+		for _, it := range items {
+			l.jobKey(it.Key, it.Value, false)
+		}
+		n.storeList(bookkeeping.PrefixMachines, l.alive, func(items []protocol.Item, _ uint64) {
+			for _, it := range items {
+				l.loadMachine(it)
+			}
+			n.storeList(bookkeeping.PrefixChunks, l.alive, func(items []protocol.Item, _ uint64) {
+				for _, it := range items {
+					l.loadChunk(it)
+				}
+				l.loaded()
+			})
+		})
+		l.watchJobs(revision)
+	})
+}
+
+func (l *lead) loaded() {
+	n := l.n
+	l.phase = settling
+	// The longest interval between reports, and the second that a worker takes
+	// to try the next node.
+	wait := n.cfg.ReportInterval*5/4 + 1200*time.Millisecond
+	if len(l.machines) == 0 {
+		wait = n.cfg.ReportInterval / 2
+	}
+	l.settled = l.elected.Add(wait)
+	live := 0
+	for _, j := range l.order {
+		live += j.live
+		l.jobProgressed(j)
+	}
+	n.log.Info("records loaded", "term", l.term, "jobs", len(l.order), "machines", len(l.machines), "attempts", live)
+	n.after(l.settled.Sub(n.now), func() {
+		if l.alive() && l.phase == settling {
+			l.phase = active
+			n.log.Info("placing", "term", l.term)
+			l.fleetStep()
+			l.askPlace()
+		}
+	})
+}
+
+func (l *lead) watchJobs(after uint64) {
+	l.n.storeWatch(bookkeeping.PrefixJobs, after, func(o Outcome) {
+		if !l.alive() {
+			return
+		}
+		if o.Answered && o.Status == 200 {
+			if events, revision, err := protocol.ParseEvents(o.Body); err == nil {
+				for _, ev := range events {
+					if !ev.Deleted {
+						l.jobKey(ev.Key, ev.Value, true)
+					}
+				}
+				l.watchJobs(max(after, revision))
+				return
+			}
+		}
+		if o.Answered && o.Status == 410 {
+			// Too much has changed since: read everything again.
+			l.n.storeList(bookkeeping.PrefixJobs, l.alive, func(items []protocol.Item, revision uint64) {
+				for _, it := range items {
+					l.jobKey(it.Key, it.Value, true)
+				}
+				l.watchJobs(revision)
+			})
+			return
+		}
+		l.n.after(200*time.Millisecond, func() {
+			if l.alive() {
+				l.watchJobs(after)
+			}
+		})
+	})
+}
+
+// jobKey takes a record under PrefixJobs.
+func (l *lead) jobKey(key string, value json.RawMessage, live bool) {
+	if id, ok := cutPrefix(key, bookkeeping.PrefixActive); ok {
+		var r bookkeeping.Job
+		if err := json.Unmarshal(value, &r); err != nil || r.Spec == nil || r.Chunk <= 0 || r.Spec.Tasks <= 0 {
+			l.n.log.Error("unreadable job record", "job", id, "err", err)
+			return
+		}
+		l.addJob(&r)
+		if live {
+			l.askPlace()
+		}
+		return
+	}
+	if id, ok := cutPrefix(key, bookkeeping.PrefixOutcome); ok {
+		s, err := bookkeeping.DecodeOutcome(value)
+		if err != nil {
+			l.n.log.Error("unreadable outcome", "job", id, "err", err)
+			return
+		}
+		l.n.admission.setFinal(id, s)
+		if j := l.jobs[id]; j != nil {
+			l.jobOver(j, s)
+		}
+	}
+}
+
+func cutPrefix(s, prefix string) (string, bool) {
+	if len(s) > len(prefix) && s[:len(prefix)] == prefix {
+		return s[len(prefix):], true
+	}
+	return "", false
+}
+
+func (l *lead) addJob(r *bookkeeping.Job) {
+	if l.jobs[r.Spec.ID] != nil {
+		return
+	}
+	j := &job{Job: r.Spec, submitted: time.UnixMilli(r.Submitted), size: r.Chunk, zones: map[string]int{},
+		failedOn: map[string]struct{}{}}
+	j.chunks = make([]*chunk, (j.Tasks+j.size-1)/j.size)
+	l.jobs[j.ID] = j
+	at := len(l.order)
+	for at > 0 && l.order[at-1].submitted.After(j.submitted) {
+		at--
+	}
+	l.order = slices.Insert(l.order, at, j)
+	if s, ok := l.n.admission.finals[j.ID]; ok {
+		l.jobOver(j, s)
+	}
+}
+
+// chunk gives the chunk that holds a task, made on first use: a job may have
+// a hundred thousand tasks of which few run at a time.
+func (j *job) chunk(index int) *chunk {
+	i := index / j.size
+	c := j.chunks[i]
+	if c == nil {
+		c = &chunk{job: j, index: i, known: true, tasks: make([]task, min(j.size, j.Tasks-i*j.size))}
+		j.chunks[i] = c
+	}
+	return c
+}
+
+func (j *job) task(i int) *task { return &j.chunk(i).tasks[i%j.size] }
+
+func (l *lead) loadChunk(it protocol.Item) {
+	id, index, ok := bookkeeping.ParseChunkKey(it.Key)
+	j := l.jobs[id]
+	if !ok || j == nil || index >= len(j.chunks) {
+		// Left behind by a job that is over: its removal was cut short.
+		l.journal.remove(it.Key)
+		return
+	}
+	var r bookkeeping.Chunk
+	if err := json.Unmarshal(it.Value, &r); err != nil {
+		l.n.log.Error("unreadable chunk record", "job", id, "chunk", index, "err", err)
+		return
+	}
+	c := j.chunk(index * j.size)
+	c.version = it.Version
+	done, err := r.IsDone(len(c.tasks))
+	if err != nil {
+		l.n.log.Error("unreadable chunk record", "job", id, "chunk", index, "err", err)
+		return
+	}
+	base := index * j.size
+	for i, d := range done {
+		if d {
+			c.tasks[i].done, c.tasks[i].saved = true, true
+			j.doneCount++
+		}
+	}
+	for _, t := range r.Tasks {
+		if t.Offset < 0 || t.Offset >= len(c.tasks) {
+			continue
+		}
+		tk := &c.tasks[t.Offset]
+		tk.attempt = t.Attempt
+		if t.Machine == "" || tk.done {
+			continue
+		}
+		m := l.machines[t.Machine]
+		if m == nil {
+			// Recorded on a machine whose own record is gone: records are
+			// removed only after the machine is.
+			continue
+		}
+		a := &attempt{job: j, task: base + t.Offset, number: t.Attempt, machine: m, placed: l.n.now,
+			recorded: true, inherited: true, since: l.n.now}
+		l.attach(a)
+	}
+	// Tasks up to the last touched chunk that aren't live or done start again.
+	end := min(j.Tasks, base+len(c.tasks))
+	for i := j.next; i < end; i++ {
+		if t := j.task(i); !t.done && t.live == nil {
+			j.waiting = append(j.waiting, i)
+		}
+	}
+	j.next = max(j.next, end)
+}
+
+// attach makes an attempt count: for its machine, its team's limit and its
+// job's zones, until detach.
+func (l *lead) attach(a *attempt) {
+	j, m := a.job, a.machine
+	j.task(a.task).live = a
+	j.live++
+	j.zones[m.zone]++
+	m.attempts[taskKey{j.ID, a.task}] = a
+	m.wanted[j.Image]++
+	m.cpus += j.CPUs
+	m.gpus += j.GPUs
+	m.mem += j.MemGB
+	u := l.teams[j.Team]
+	if u == nil {
+		u = &usage{}
+		l.teams[j.Team] = u
+	}
+	u.cpus += j.CPUs
+	u.gpus += j.GPUs
+}
+
+// detach ends an attempt's account. It must be called only on proof that the
+// attempt is gone and can't start any more.
+func (l *lead) detach(a *attempt, why string) {
+	j, m := a.job, a.machine
+	t := j.task(a.task)
+	if t.live != a {
+		return
+	}
+	l.n.log.Debug("attempt gone", "job", j.ID, "task", a.task, "attempt", a.number, "machine", m.name, "why", why)
+	l.setState(a, 0)
+	t.live = nil
+	j.live--
+	if j.zones[m.zone]--; j.zones[m.zone] == 0 {
+		delete(j.zones, m.zone)
+	}
+	delete(m.attempts, taskKey{j.ID, a.task})
+	if m.wanted[j.Image]--; m.wanted[j.Image] <= 0 {
+		delete(m.wanted, j.Image)
+	}
+	m.cpus -= j.CPUs
+	m.gpus -= j.GPUs
+	m.mem -= j.MemGB
+	if len(m.attempts) == 0 {
+		m.cpus, m.gpus, m.mem = 0, 0, 0 // no rounding left behind
+		m.emptySince = l.n.now
+	}
+	u := l.teams[j.Team]
+	u.cpus -= j.CPUs
+	u.gpus -= j.GPUs
+	if j.outcome == 0 && !t.done {
+		j.waiting = append(j.waiting, a.task)
+	}
+	if j.outcome == 0 {
+		l.journal.touchLazy(j.chunk(a.task))
+	}
+	l.jobProgressed(j)
+	l.askPlace()
+}
+
+// setState notes an attempt's reported state.
+func (l *lead) setState(a *attempt, s protocol.TaskState) {
+	if a.state == s {
+		return
+	}
+	if a.state == protocol.Running {
+		a.job.running--
+	}
+	if s == protocol.Running {
+		a.job.running++
+		a.job.started++
+	}
+	a.state, a.since = s, l.n.now
+}
+
+// taskDone notes that a task has completed, whichever attempt did it.
+func (l *lead) taskDone(j *job, i int) {
+	t := j.task(i)
+	if t.done || j.Kind != protocol.Batch {
+		return
+	}
+	t.done = true
+	j.doneCount++
+	j.errors = 0
+	if k := slices.Index(j.waiting, i); k >= 0 {
+		j.waiting = slices.Delete(j.waiting, k, k+1)
+	}
+	if t.live != nil {
+		l.stopAttempt(t.live, 0)
+	}
+	l.journal.touchLazy(j.chunk(i))
+	l.jobProgressed(j)
+}
+
+// jobProgressed writes the outcome of a complete job and removes the records
+// of one that is over and has no attempt left.
+func (l *lead) jobProgressed(j *job) {
+	if l.phase == loading {
+		return
+	}
+	if j.outcome == 0 && !j.finishing && j.Kind == protocol.Batch && j.doneCount == j.Tasks {
+		j.finishing = true
+		l.journal.finish(j)
+	}
+	if j.outcome != 0 && j.live == 0 && !j.removed {
+		j.removed = true
+		l.journal.removeJob(j)
+	}
+}
+
+// jobOver notes a recorded outcome. No task of the job starts any more, and
+// those that run are stopped.
+func (l *lead) jobOver(j *job, s protocol.JobState) {
+	if j.outcome != 0 {
+		return
+	}
+	j.outcome = s
+	l.n.log.Info("job over", "job", j.ID, "cancelled", s == protocol.Cancelled, "done", j.doneCount, "live", j.live)
+	j.waiting = nil
+	j.next = j.Tasks
+	for _, c := range j.chunks {
+		if c == nil {
+			continue
+		}
+		for i := range c.tasks {
+			if a := c.tasks[i].live; a != nil {
+				l.stopAttempt(a, 0)
+			}
+		}
+	}
+	l.jobProgressed(j)
+	l.askPlace()
+}
+
+// forgetJob drops a job whose records are removed.
+func (l *lead) forgetJob(j *job) {
+	delete(l.jobs, j.ID)
+	if i := slices.Index(l.order, j); i >= 0 {
+		l.order = slices.Delete(l.order, i, i+1)
+	}
+}
+
+// stopAttempt wants an attempt ended. One whose start never left is gone at
+// once.
+func (l *lead) stopAttempt(a *attempt, grace time.Duration) {
+	if a.stop && a.grace <= grace {
+		return
+	}
+	a.stop, a.grace, a.stopSent = true, grace, time.Time{}
+	if l.neverSent(a) && !l.beingRecorded(a) {
+		l.detach(a, "never sent")
+		return
+	}
+	l.directSoon(a.machine)
+}
+
+func (l *lead) neverSent(a *attempt) bool {
+	return !a.inherited && !a.seen && a.sentSession == 0 && !a.direct && a.directToken == 0
+}
+
+// beingRecorded reports whether a write that holds the attempt may be under
+// way; it is dealt with when that ends.
+func (l *lead) beingRecorded(a *attempt) bool {
+	return !a.recorded && a.job.chunk(a.task).inFlight
+}
+
+// askPlace wants the placement to run soon. A short delay lets what happens
+// together be placed together.
+func (l *lead) askPlace() {
+	if l.placeAsked || l.phase != active {
+		return
+	}
+	l.placeAsked = true
+	l.n.after(8*time.Millisecond, func() {
+		if l.alive() {
+			l.placeAsked = false
+			l.place()
+		}
+	})
+}
+
+// settleStep runs at the end of each step: it sends what the step left to be
+// written and ordered.
+func (l *lead) settleStep() {
+	l.journal.flush()
+	for i := 0; i < len(l.stepDirect); i++ {
+		m := l.stepDirect[i]
+		m.directAsked = false
+		l.sendDirect(m)
+	}
+	l.stepDirect = l.stepDirect[:0]
+}
+
+func (l *lead) directSoon(m *machine) {
+	if !m.directAsked {
+		m.directAsked = true
+		l.stepDirect = append(l.stepDirect, m)
+	}
+}
--- /dev/null
+++ b/internal/coordination/machines.go
@@ -0,0 +1,646 @@
+package coordination
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// machine is one rented machine and what is known of it.
+type machine struct {
+	name, addr string
+	typ, zone  string
+	spot       bool
+	spec       *protocol.MachineType
+	rented     time.Time
+	recorded   bool // its own record is written: placements may name it
+	removed    bool
+
+	// From reports.
+	up         bool // it has reported to this leader
+	session    uint64
+	seq        uint64
+	token      uint64    // highest it has seen
+	heardToken bool      // it has seen one of this term's
+	heard      time.Time // last sign of life
+	answered   time.Time // last time a report of it was answered
+	noticeAt   time.Time // when the cloud takes it; zero without notice
+
+	attempts        map[taskKey]*attempt
+	cpus, gpus, mem float64 // taken by them
+	emptySince      time.Time
+	promised        usage // room that preemption frees for others
+	promisedMem     float64
+	promisedAt      time.Time
+	images          imageCache
+	wanted          map[string]int // images of the attempts on it
+
+	fence       uint16 // raises the token for this worker alone
+	directToken uint64 // of the last direct start: late copies of it die above it
+	directBusy  bool
+	directAsked bool
+	directPause time.Time
+	probing     bool
+
+	failures  map[string]int // failed attempts by job since the last success
+	sick      bool
+	draining  bool // to be returned: takes nothing more
+	releasing bool // its release was asked for
+	releaseAt time.Time
+	listed    time.Time // when a list last showed it
+	missing   time.Time // since when lists that should show it don't
+}
+
+func (l *lead) newMachine(name, typ, zone string, spot bool) *machine {
+	m := &machine{name: name, typ: typ, zone: zone, spot: spot, spec: l.n.types[typ], rented: l.n.now,
+		attempts: map[taskKey]*attempt{}, emptySince: l.n.now, failures: map[string]int{}, wanted: map[string]int{}}
+	l.machines[name] = m
+	l.fleetList = append(l.fleetList, m)
+	return m
+}
+
+func (l *lead) loadMachine(it protocol.Item) {
+	name, ok := cutPrefix(it.Key, bookkeeping.PrefixMachines)
+	var r bookkeeping.Machine
+	if !ok || json.Unmarshal(it.Value, &r) != nil {
+		l.n.log.Error("unreadable machine record", "key", it.Key)
+		return
+	}
+	m := l.machines[name]
+	if m == nil {
+		m = l.newMachine(name, r.Type, r.Zone, r.Spot)
+	}
+	m.recorded = true
+	m.rented = time.UnixMilli(r.Rented)
+	if m.rented.After(l.n.now) {
+		m.rented = l.n.now
+	}
+	// Steady time only from here on.
+	m.rented = l.n.now.Add(-l.n.now.Round(0).Sub(m.rented))
+}
+
+// adopt takes in a machine that no record tells of: rented by a request whose
+// answer was lost, or by one that was carried out late.
+func (l *lead) adopt(name, typ, zone string, spot bool, age time.Duration) *machine {
+	m := l.newMachine(name, typ, zone, spot)
+	m.rented = l.n.now.Add(-age)
+	l.n.log.Info("unexpected machine adopted", "machine", name, "type", typ, "zone", zone, "spot", spot)
+	if l.phase != loading {
+		l.journal.putMachine(m)
+	}
+	return m
+}
+
+// machineToken is the token for one worker.
+func (l *lead) machineToken(m *machine) uint64 { return l.token() | uint64(m.fence) }
+
+// raiseFence makes the worker's token exceed one under which a direct start
+// went out. The fence never wraps: a lower token would be ignored.
+func (l *lead) raiseFence(m *machine, above uint64) {
+	if l.machineToken(m) <= above && m.fence < 1<<16-1 {
+		m.fence++
+	}
+}
+
+// report answers a worker.
+func (n *Node) report(id uint64, body []byte) {
+	l := n.lead
+	if l == nil || !l.entitled() {
+		// Never 200 here: it would hold the worker while its lease runs out.
+		n.reply(id, 421, protocol.Redirect(n.leaderName()))
+		return
+	}
+	r, err := protocol.ParseReport(body)
+	if err != nil {
+		n.reply(id, 400, protocol.ErrorAnswer("not a worker's report"))
+		return
+	}
+	if r.Token>>16 > l.term {
+		// A later leader has already spoken to this worker.
+		n.stepDown("a worker has seen a later term")
+		n.reply(id, 421, protocol.Redirect(""))
+		return
+	}
+	if at, ok := l.gone[r.Machine]; ok && l.machines[r.Machine] == nil {
+		if n.now.Sub(at) < time.Minute {
+			n.reply(id, 503, protocol.ErrorAnswer("the machine was returned"))
+			return
+		}
+		delete(l.gone, r.Machine)
+	}
+	m := l.machines[r.Machine]
+	if m == nil {
+		m = l.adopt(r.Machine, r.Type, r.Zone, r.Spot, 0)
+	}
+	if m.up && (r.Session < m.session || r.Session == m.session && r.Seq <= m.seq) {
+		// Late or repeated. It tells nothing new, and orders in its answer
+		// would be judged by the wrong list of tasks.
+		n.reply(id, 200, protocol.ReportAnswer(l.machineToken(m), nil))
+		return
+	}
+	m.answered = n.now
+	orders := l.takeReport(m, r, true)
+	n.reply(id, 200, protocol.ReportAnswer(l.machineToken(m), orders))
+	if len(orders) > 0 {
+		n.log.Debug("orders", "machine", m.name, "count", len(orders), "seq", r.Seq)
+	}
+}
+
+// takeReport brings what is known of a machine up to a newer report. With
+// reported set it came as a report, whose answer may carry orders; otherwise
+// as the body of a response of the worker's.
+func (l *lead) takeReport(m *machine, r *protocol.Report, reported bool) []protocol.Order {
+	n := l.n
+	if !m.up {
+		m.up = true
+		if m.zone != r.Zone || m.typ != r.Type || m.spot != r.Spot {
+			m.zone, m.typ, m.spot = r.Zone, r.Type, r.Spot
+		}
+		n.log.Debug("machine reports", "machine", m.name, "type", m.typ, "zone", m.zone, "session", r.Session)
+		l.askPlace()
+	}
+	if m.spec == nil {
+		m.spec = n.types[m.typ]
+	}
+	newSession := r.Session != m.session
+	m.session, m.seq, m.token, m.heard = r.Session, r.Seq, r.Token, n.now
+	if r.Addr != "" {
+		m.addr = r.Addr
+	}
+	m.heardToken = m.heardToken || r.Token >= l.token()
+	m.missing = time.Time{}
+	if newSession {
+		m.images.reset()
+	}
+	if r.HasNotice && m.noticeAt.IsZero() {
+		m.noticeAt = n.now.Add(r.Notice)
+		n.log.Info("machine will be taken", "machine", m.name, "in", r.Notice)
+		l.drainNoticed(m)
+	}
+	if l.phase == loading {
+		// Whether a task belongs here isn't known yet; the answer only renews
+		// the lease. The same report's content will come again.
+		m.seq = r.Seq
+		return nil
+	}
+	var orders []protocol.Order
+	present := make(map[*attempt]struct{}, len(r.Tasks))
+	var clears []protocol.Order
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		a := m.attempts[taskKey{t.Job, t.Index}]
+		if a != nil && a.number != t.Attempt {
+			a = nil
+		}
+		if a != nil {
+			present[a] = struct{}{}
+			a.seen = true
+		}
+		if t.State == protocol.Exited {
+			if l.exited(m, a, t) {
+				clears = append(clears, protocol.Order{Kind: protocol.Forget, Job: t.Job, Index: t.Index, Attempt: t.Attempt})
+			}
+			continue
+		}
+		if a == nil {
+			// Not a task of ours on this machine, or not any more.
+			if reported {
+				orders = append(orders, protocol.Order{Kind: protocol.Stop, Job: t.Job, Index: t.Index, Attempt: t.Attempt})
+			}
+			continue
+		}
+		if t.State == protocol.Running && a.state != protocol.Running {
+			m.images.add(a.job.Image, a.job.ImageGB, m.cacheGB())
+		}
+		l.setState(a, t.State)
+	}
+	// Absent attempts, in a fixed order.
+	if len(present) < len(m.attempts) {
+		absent := make([]*attempt, 0, len(m.attempts)-len(present))
+		for _, a := range m.attempts {
+			if _, ok := present[a]; !ok {
+				absent = append(absent, a)
+			}
+		}
+		slices.SortFunc(absent, compareAttempts)
+		for _, a := range absent {
+			if o, ok := l.absent(m, a, r, reported); ok {
+				orders = append(orders, o)
+			}
+		}
+	}
+	if !reported {
+		return nil
+	}
+	for _, a := range m.sorted() {
+		if _, ok := present[a]; ok && a.stop {
+			if o, ok := l.stopOrder(a); ok {
+				orders = append(orders, o)
+			}
+		}
+	}
+	// A cleared attempt is unknown to the worker, so that a late copy of its
+	// direct start would start it once more. Copies below the worker's token
+	// are refused: raise it, and clear once the worker is seen to know.
+	if len(clears) > 0 {
+		if m.directToken == 0 || r.Token > m.directToken {
+			orders = append(orders, clears...)
+		} else {
+			l.raiseFence(m, m.directToken)
+		}
+	}
+	return orders
+}
+
+func compareAttempts(a, b *attempt) int {
+	if a.job != b.job {
+		if a.job.ID < b.job.ID {
+			return -1
+		}
+		return 1
+	}
+	return a.task - b.task
+}
+
+// sorted gives the machine's attempts in a fixed order.
+func (m *machine) sorted() []*attempt {
+	list := make([]*attempt, 0, len(m.attempts))
+	for _, a := range m.attempts {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, compareAttempts)
+	return list
+}
+
+// absent judges an attempt that a newer report lacks. Absence is proof only
+// once nothing that was sent can still start it.
+func (l *lead) absent(m *machine, a *attempt, r *protocol.Report, reported bool) (protocol.Order, bool) {
+	none := protocol.Order{}
+	if !a.recorded {
+		return none, false
+	}
+	switch {
+	case a.seen:
+		l.detach(a, "no longer reported")
+		return none, false
+	case a.inherited:
+		// An earlier leader may have sent the start, directly too. A worker
+		// that has seen our token refuses it.
+		if r.Token >= l.token() {
+			l.detach(a, "not held by the worker")
+		}
+		return none, false
+	case a.direct:
+		return none, false // its response is on the way
+	case a.directToken != 0:
+		// Unanswered: it may be carried out minutes later, until the worker
+		// has seen a higher token.
+		if r.Token <= a.directToken {
+			l.raiseFence(m, a.directToken)
+			return none, false
+		}
+		a.directToken = 0
+	case a.sentSession != 0 && a.sentSession != r.Session:
+		l.detach(a, "the worker's lease expired")
+		return none, false
+	case a.sentSession != 0 && (!reported || r.Seq <= a.sentSeq):
+		// A response of the worker's may be older than the answer that carries
+		// the start; only its next report proves that the answer was lost.
+		return none, false
+	}
+	if a.stop || l.n.storeDown() {
+		if a.stop {
+			l.detach(a, "never started")
+		}
+		return none, false
+	}
+	if !reported {
+		l.directSoon(m)
+		return none, false
+	}
+	a.sentSession, a.sentSeq = r.Session, r.Seq
+	return startOrder(a), true
+}
+
+func startOrder(a *attempt) protocol.Order {
+	return protocol.Order{Kind: protocol.Start, Job: a.job.ID, Index: a.task, Attempt: a.number}
+}
+
+// stopOrder gives the order that ends an attempt, unless it is saving in the
+// time it was given.
+func (l *lead) stopOrder(a *attempt) (protocol.Order, bool) {
+	if a.state == protocol.Saving && a.grace > 0 {
+		return protocol.Order{}, false
+	}
+	return protocol.Order{Kind: protocol.Stop, Job: a.job.ID, Index: a.task, Attempt: a.number, Grace: a.grace}, true
+}
+
+// exited takes an exited task of a report and tells whether the worker may
+// forget it.
+func (l *lead) exited(m *machine, a *attempt, t *protocol.TaskReport) bool {
+	j := l.jobs[t.Job]
+	if t.Why == protocol.ExitDone && j != nil && t.Index < j.Tasks {
+		if a != nil && a.state != 0 {
+			m.images.add(j.Image, j.ImageGB, m.cacheGB())
+		}
+		clear(m.failures)
+		l.taskDone(j, t.Index)
+	}
+	if a != nil {
+		if t.Why == protocol.ExitError {
+			l.failed(m, a)
+		}
+		if t.Why == protocol.ExitNoRoom || t.Why == protocol.ExitBusy || t.Why == protocol.ExitUnknown {
+			l.n.log.Info("start refused", "machine", m.name, "job", t.Job, "task", t.Index, "why", t.Why)
+			j.notBefore = l.n.now.Add(500 * time.Millisecond)
+			l.n.after(510*time.Millisecond, func() {
+				if l.alive() {
+					l.askPlace()
+				}
+			})
+		}
+		l.detach(a, "exited")
+	}
+	// A result is recorded before the worker forgets it.
+	if t.Why == protocol.ExitDone && j != nil && t.Index < j.Tasks && j.outcome == 0 && !j.task(t.Index).saved {
+		return false
+	}
+	return true
+}
+
+// failed notes an attempt that ended in an error, and tells a machine that
+// fails everything from a job that fails everywhere: the first fails several
+// jobs, the second fails on several machines.
+func (l *lead) failed(m *machine, a *attempt) {
+	j := a.job
+	j.errors++
+	j.failedOn[m.name] = struct{}{}
+	m.failures[j.ID]++
+	l.n.log.Info("task failed", "job", j.ID, "task", a.task, "machine", m.name, "failures", j.errors)
+	// A job that never succeeds is tried again, ever more slowly.
+	if len(j.failedOn) >= 3 && j.errors >= 4 {
+		wait := min(30*time.Second, 250*time.Millisecond<<min(j.errors-3, 8))
+		j.notBefore = l.n.now.Add(wait)
+		l.n.after(wait+10*time.Millisecond, func() {
+			if l.alive() {
+				l.askPlace()
+			}
+		})
+	}
+	good := 0
+	for id := range m.failures {
+		if k := l.jobs[id]; k != nil && len(k.failedOn) <= 2 {
+			good++
+		}
+	}
+	if !m.sick && (good >= 2 || good == 1 && j.doneCount > 0 && m.failures[j.ID] >= 2) {
+		m.sick = true
+		l.n.log.Warn("machine fails its tasks", "machine", m.name, "jobs", len(m.failures))
+		l.drain(m)
+	}
+}
+
+// drain takes a machine out of use.
+func (l *lead) drain(m *machine) {
+	if m.draining {
+		return
+	}
+	m.draining = true
+	for _, a := range m.sorted() {
+		l.stopAttempt(a, l.saveGrace(a))
+	}
+}
+
+// drainNoticed saves what can be saved on a machine that will be taken. Tasks
+// that can't save go on: they may still complete.
+func (l *lead) drainNoticed(m *machine) {
+	for _, a := range m.sorted() {
+		if a.job.Checkpoint > 0 {
+			l.stopAttempt(a, l.saveGrace(a))
+		} else if a.job.Kind == protocol.Service {
+			l.stopAttempt(a, 0)
+		}
+	}
+}
+
+// saveGrace is the time a stopped attempt needs to save.
+func (l *lead) saveGrace(a *attempt) time.Duration {
+	if a.job.Checkpoint == 0 || a.state != protocol.Running {
+		return 0
+	}
+	return a.job.Save + 100*time.Millisecond
+}
+
+// sendDirect sends a worker what it must do without waiting for its report.
+func (l *lead) sendDirect(m *machine) {
+	n := l.n
+	if !l.alive() || m.directBusy || m.removed || !m.up || m.addr == "" || l.phase == loading || !l.entitled() {
+		return
+	}
+	if n.now.Before(m.directPause) || n.now.Sub(m.heard) > n.cfg.ReportInterval*3/2 {
+		return // unreachable: it gets its orders when it reports
+	}
+	var orders []protocol.Order
+	var starts []*attempt
+	for _, a := range m.sorted() {
+		switch {
+		case a.stop && a.seen && a.stopSent.IsZero():
+			if o, ok := l.stopOrder(a); ok {
+				a.stopSent = n.now
+				orders = append(orders, o)
+			}
+		case !a.stop && a.recorded && l.neverSent(a) && !n.storeDown():
+			starts = append(starts, a)
+			orders = append(orders, startOrder(a))
+		}
+	}
+	if len(orders) == 0 {
+		return
+	}
+	token, session := l.machineToken(m), m.session
+	for _, a := range starts {
+		a.direct = true
+		a.directToken = token
+	}
+	if len(starts) > 0 {
+		m.directToken = token
+	}
+	m.directBusy = true
+	n.call(Worker, m.addr, "POST", protocol.PathOrders, protocol.DirectOrders(token, session, orders), 1200*time.Millisecond,
+		func(o Outcome) {
+			if !l.alive() {
+				return
+			}
+			m.directBusy = false
+			for _, a := range starts {
+				a.direct = false
+			}
+			var r *protocol.Report
+			if o.Answered && (o.Status == 200 || o.Status == 409) {
+				r, _ = protocol.ParseReport(o.Body)
+			}
+			if r == nil || r.Machine != m.name {
+				// Carried out late, perhaps: directToken stays until the worker
+				// has seen a higher one.
+				if o.NotSent || o.Answered && o.Status == 400 {
+					for _, a := range starts {
+						a.directToken = 0
+					}
+				}
+				m.directPause = n.now.Add(n.cfg.ReportInterval)
+				return
+			}
+			for _, a := range starts {
+				a.directToken = 0
+				if o.Status == 200 {
+					a.sentSession, a.sentSeq = session, r.Seq
+				}
+			}
+			if r.Token>>16 > l.term {
+				n.stepDown("a worker has seen a later term")
+				return
+			}
+			if !m.removed && (r.Session > m.session || r.Session == m.session && r.Seq > m.seq) {
+				l.takeReport(m, r, false)
+			}
+			if o.Status == 200 {
+				l.sendDirect(m)
+			}
+		})
+}
+
+// machineGone ends a machine on proof: all that was on it is gone.
+func (l *lead) machineGone(m *machine, why string) {
+	if m.removed {
+		return
+	}
+	m.removed = true
+	l.n.log.Info("machine gone", "machine", m.name, "why", why, "attempts", len(m.attempts))
+	l.gone[m.name] = l.n.now
+	delete(l.machines, m.name)
+	if i := slices.Index(l.fleetList, m); i >= 0 {
+		l.fleetList = slices.Delete(l.fleetList, i, i+1)
+	}
+	for _, a := range m.sorted() {
+		l.detach(a, "machine gone")
+	}
+	l.journal.remove(bookkeeping.KeyMachine(m.name))
+}
+
+// suspectAfter is the silence after which a machine takes nothing new, and
+// releaseAfter the one after which it is given up.
+func (l *lead) suspectAfter() time.Duration { return l.n.cfg.ReportInterval*5/4 + 700*time.Millisecond }
+
+func (l *lead) releaseAfter() time.Duration {
+	return max(l.n.cfg.ReportInterval*2+time.Second, 4*time.Second)
+}
+
+// watchMachines looks for machines that have fallen silent. Silence proves
+// nothing; releasing the machine does, and takes a moment.
+func (l *lead) watchMachines() {
+	n := l.n
+	if l.phase != active {
+		return
+	}
+	var silent []*machine
+	up := 0
+	for _, m := range l.fleetList {
+		since := m.heard
+		if !m.up {
+			if len(m.attempts) == 0 {
+				continue
+			}
+			since = l.settled // it ran tasks for an earlier leader
+		}
+		up++
+		d := n.now.Sub(since)
+		if d > l.suspectAfter() {
+			l.probe(m)
+		}
+		if d > l.releaseAfter() {
+			silent = append(silent, m)
+		}
+	}
+	if len(silent) == 0 {
+		return
+	}
+	// Many at once speak for a cut between them and this node.
+	many := len(silent) > 2 && len(silent)*3 > up
+	for _, m := range silent {
+		if n.now.After(l.silentProof(m)) {
+			for _, a := range m.sorted() {
+				l.detach(a, "the worker's lease has ended")
+			}
+		}
+		if !many || n.now.Sub(m.heard) > n.cfg.WorkerLease && n.now.Sub(l.elected) > n.cfg.WorkerLease {
+			l.release(m, "silent")
+		}
+	}
+	if many && len(silent)*2 > up && n.now.Sub(l.settled) > 2*time.Second && !n.storeDown() && len(n.cfg.Peers) > 0 && n.otherZone() {
+		n.resign("most machines are out of reach", 12*time.Second)
+	}
+}
+
+func (n *Node) otherZone() bool {
+	for i := range n.cfg.Peers {
+		if n.cfg.Peers[i].Zone != n.cfg.Zone {
+			return true
+		}
+	}
+	return false
+}
+
+// probe asks a silent worker for its state: it may be reporting to another
+// node, or its reports may be lost.
+func (l *lead) probe(m *machine) {
+	if m.probing || m.addr == "" || m.releasing {
+		return
+	}
+	m.probing = true
+	l.n.call(Worker, m.addr, "GET", protocol.PathShow, nil, 1500*time.Millisecond, func(o Outcome) {
+		if !l.alive() {
+			return
+		}
+		m.probing = false
+		if !o.Answered || o.Status != 200 || m.removed {
+			return
+		}
+		r, err := protocol.ParseReport(o.Body)
+		if err != nil || r.Machine != m.name {
+			return
+		}
+		if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
+			l.takeReport(m, r, false)
+		}
+	})
+}
+
+func (m *machine) cacheGB() float64 {
+	if m.spec == nil {
+		return 0
+	}
+	return m.spec.CacheGB
+}
+
+// promise sets room aside that preemption is freeing, until the next
+// placement round.
+func (m *machine) promise(j *protocol.Job) {
+	m.promised.cpus += j.CPUs
+	m.promised.gpus += j.GPUs
+	m.promisedMem += j.MemGB
+}
+
+// stopping is the room of attempts that were told to end.
+func (m *machine) stopping() (u usage, mem float64) {
+	for _, a := range m.attempts {
+		if a.stop {
+			u.cpus += a.job.CPUs
+			u.gpus += a.job.GPUs
+			mem += a.job.MemGB
+		}
+	}
+	return u, mem
+}
--- /dev/null
+++ b/internal/coordination/node.go
@@ -0,0 +1,232 @@
+// Package coordination is the core of a controller: a state machine that
+// takes what happened and returns what to send, write and answer. It does no
+// I/O, reads no clock and starts no goroutine, so a simulated cluster can
+// drive it step by step.
+package coordination
+
+import (
+	"container/heap"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/config"
+	"brasskeel/internal/protocol"
+)
+
+// Service is whom a call goes to.
+type Service uint8
+
+// Services a node calls.
+const (
+	State Service = iota + 1
+	Cloud
+	Worker
+)
+
+// Reply answers a request that came in.
+type Reply struct {
+	ID         uint64
+	Status     int
+	RetryAfter int // seconds; 0 for none
+	Body       []byte
+}
+
+// Call is a request to be sent. Its outcome comes back through Node.Result.
+type Call struct {
+	ID      uint64
+	To      Service
+	Addr    string // of a worker
+	Method  string
+	Target  string
+	Body    []byte
+	Timeout time.Duration
+}
+
+// Publish is told to every peer.
+type Publish struct{ Body []byte }
+
+// Effects is what one step asks for, in order.
+type Effects struct {
+	Replies   []Reply
+	Calls     []Call
+	Publishes []Publish
+}
+
+// Outcome is what came of a call. Answered is false when no response came:
+// the request may or may not have been carried out, now or later, unless
+// NotSent says that it never left.
+type Outcome struct {
+	Status   int
+	Body     []byte
+	Answered bool
+	NotSent  bool
+}
+
+// drift bounds by how much steady clocks of two machines differ over a time:
+// twice what the protocol allows, so that rounding can't matter.
+func drift(d time.Duration) time.Duration { return d / 1000 }
+
+// proofMargin is added to every deadline that other machines' clocks take
+// part in.
+const proofMargin = 500 * time.Millisecond
+
+// Node is one controller.
+type Node struct {
+	cfg  *config.Settings
+	op   config.Operator
+	log  *slog.Logger
+	rng  *rand.Rand
+	boot uint64
+
+	now    time.Time
+	out    Effects
+	calls  map[uint64]func(Outcome)
+	lastID uint64
+	timers timerHeap
+	seq    uint64
+
+	teams map[string]*config.Team
+	types map[string]*protocol.MachineType
+
+	storeOK   time.Time // when the state service last answered as it should
+	storeBad  time.Time // when it first failed since; zero while it works
+	storeCost *bookkeeping.Budget
+
+	election  election
+	admission admission
+	peers     map[string]*peerView
+	lead      *lead // nil while following
+}
+
+// New makes a node that is about to start at now. boot must differ from every
+// earlier process's.
+func New(cfg *config.Settings, op config.Operator, log *slog.Logger, boot uint64, now time.Time) *Node {
+	n := &Node{cfg: cfg, op: op, log: log, boot: boot, now: now,
+		rng:   rand.New(rand.NewPCG(boot, uint64(len(cfg.Name)))),
+		calls: map[uint64]func(Outcome){}, teams: map[string]*config.Team{}, peers: map[string]*peerView{}}
+	for i := range cfg.Teams {
+		n.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
+	}
+	n.storeCost = bookkeeping.NewBudget(cfg.StateRPS*0.8, cfg.StateRPS*0.6, now)
+	n.admission.init()
+	return n
+}
+
+// Start makes the first step.
+func (n *Node) Start(now time.Time) Effects {
+	n.now = now
+	n.storeOK = now
+	n.startElection()
+	n.loadTypes()
+	n.every(time.Second, n.publish)
+	return n.take()
+}
+
+// Request takes a request that came in.
+func (n *Node) Request(now time.Time, id uint64, method, target string, body []byte) Effects {
+	n.now = now
+	n.route(id, method, target, body)
+	return n.take()
+}
+
+// Result takes the outcome of a call.
+func (n *Node) Result(now time.Time, id uint64, o Outcome) Effects {
+	n.now = now
+	if done := n.calls[id]; done != nil {
+		delete(n.calls, id)
+		done(o)
+	}
+	return n.take()
+}
+
+// Tick runs the timers that are due.
+func (n *Node) Tick(now time.Time) Effects {
+	n.now = now
+	for len(n.timers) > 0 && !n.timers[0].at.After(now) {
+		t := heap.Pop(&n.timers).(*timer)
+		if t.run != nil {
+			t.run()
+		}
+	}
+	return n.take()
+}
+
+// Next is when Tick is due; zero when nothing is planned.
+func (n *Node) Next() time.Time {
+	if len(n.timers) == 0 {
+		return time.Time{}
+	}
+	return n.timers[0].at
+}
+
+func (n *Node) take() Effects {
+	if n.lead != nil {
+		n.lead.settleStep()
+	}
+	out := n.out
+	n.out = Effects{}
+	return out
+}
+
+func (n *Node) reply(id uint64, status int, body []byte) {
+	n.out.Replies = append(n.out.Replies, Reply{ID: id, Status: status, Body: body})
+}
+
+// refuse tells a client to come back.
+func (n *Node) refuse(id uint64, status int, reason string) {
+	n.out.Replies = append(n.out.Replies, Reply{ID: id, Status: status, RetryAfter: 1, Body: protocol.ErrorAnswer(reason)})
+}
+
+func (n *Node) call(to Service, addr, method, target string, body []byte, timeout time.Duration, done func(Outcome)) {
+	n.lastID++
+	n.calls[n.lastID] = done
+	n.out.Calls = append(n.out.Calls, Call{ID: n.lastID, To: to, Addr: addr, Method: method, Target: target,
+		Body: body, Timeout: timeout})
+}
+
+type timer struct {
+	at  time.Time
+	seq uint64
+	run func()
+}
+
+type timerHeap []*timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].seq < h[j].seq
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(*timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return t
+}
+
+// after runs f once d has passed. Setting the timer's run to nil cancels it.
+func (n *Node) after(d time.Duration, f func()) *timer {
+	n.seq++
+	t := &timer{at: n.now.Add(d), seq: n.seq, run: f}
+	heap.Push(&n.timers, t)
+	return t
+}
+
+// every runs f each d for the life of the process.
+func (n *Node) every(d time.Duration, f func()) {
+	n.after(d, func() { f(); n.every(d, f) })
+}
+
+// jitter is a random duration below d.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return time.Duration(n.rng.Int64N(int64(d)))
+}
--- /dev/null
+++ b/internal/coordination/peers.go
@@ -0,0 +1,77 @@
+package coordination
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// peerView is what a peer last told of itself.
+type peerView struct {
+	at       time.Time
+	storeOK  bool
+	term     uint64
+	progress map[string][2]int
+}
+
+// peerMessage is what controllers tell one another. None of it is needed for
+// the protocol's rules: those rest on the state service alone.
+type peerMessage struct {
+	Node     string            `json:"node"`
+	StoreOK  bool              `json:"storeOK"`
+	Term     uint64            `json:"term,omitempty"` // of a leader
+	Progress map[string][2]int `json:"progress,omitempty"`
+}
+
+// maxProgress bounds how many jobs' progress one message carries.
+const maxProgress = 500
+
+// publish tells the peers how this node is and, from a leader, how jobs go.
+func (n *Node) publish() {
+	m := peerMessage{Node: n.cfg.Name, StoreOK: !n.storeDown() && n.now.Sub(n.storeOK) < 5*time.Second}
+	if l := n.lead; l != nil {
+		m.Term = l.term
+		m.Progress = map[string][2]int{}
+		for _, j := range l.order {
+			if (j.running > 0 || j.doneCount > 0) && len(m.Progress) < maxProgress {
+				m.Progress[j.ID] = [2]int{j.doneCount, j.running}
+			}
+		}
+	}
+	raw, err := json.Marshal(m)
+	if err == nil {
+		n.out.Publishes = append(n.out.Publishes, Publish{Body: raw})
+	}
+}
+
+// Peer takes a message from another controller.
+func (n *Node) Peer(now time.Time, body []byte) Effects {
+	n.now = now
+	var m peerMessage
+	if json.Unmarshal(body, &m) == nil && m.Node != "" && m.Node != n.cfg.Name && n.isPeer(m.Node) {
+		n.peers[m.Node] = &peerView{at: now, storeOK: m.StoreOK, term: m.Term, progress: m.Progress}
+		if n.lead != nil && m.Term > n.lead.term {
+			n.stepDown("a peer leads with a later term")
+		}
+	}
+	return n.take()
+}
+
+func (n *Node) isPeer(name string) bool {
+	for i := range n.cfg.Peers {
+		if n.cfg.Peers[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// peerReachesStore reports whether another node lately said that the state
+// service serves it.
+func (n *Node) peerReachesStore() bool {
+	for _, p := range n.peers {
+		if p.storeOK && n.now.Sub(p.at) < 3*time.Second {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordination/place.go
@@ -0,0 +1,238 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// place gives machines to waiting tasks: per job in order, per task the
+// highest score among the machines with room.
+func (l *lead) place() {
+	n := l.n
+	if l.phase != active || n.storeDown() || !n.now.Before(l.validUntil) {
+		return // new placements need the state service
+	}
+	l.markGuarantees()
+	order := l.waitingOrder()
+	l.fleet.unmet = l.fleet.unmet[:0]
+	for _, m := range l.fleetList {
+		m.promised, m.promisedMem = usage{}, 0
+	}
+	for _, j := range order {
+		left := l.placeJob(j)
+		if left > 0 && n.now.Before(j.notBefore) {
+			continue
+		}
+		if left > 0 && (j.Priority == protocol.Critical || j.within) {
+			left = l.makeRoom(j, left)
+		}
+		if left > 0 {
+			l.fleet.unmet = append(l.fleet.unmet, demand{j, left})
+		}
+	}
+	if len(l.fleet.unmet) > 0 {
+		l.fleetSoon()
+	}
+}
+
+// toStart is the number of a job's tasks that wait for a machine.
+func (j *job) toStart() int {
+	if j.outcome != 0 {
+		return 0
+	}
+	return len(j.waiting) + j.Tasks - j.next
+}
+
+// takeTask gives the next task to start; peek leaves it there.
+func (j *job) peekTask() int {
+	for len(j.waiting) > 0 {
+		i := j.waiting[0]
+		if t := j.task(i); !t.done && t.live == nil {
+			return i
+		}
+		j.waiting = j.waiting[1:]
+	}
+	return j.next
+}
+
+func (j *job) takeTask() {
+	if len(j.waiting) > 0 {
+		j.waiting = j.waiting[1:]
+		return
+	}
+	j.next++
+}
+
+// markGuarantees finds the jobs within their team's guarantee: those that fit
+// into it together with the team's earlier unfinished jobs.
+func (l *lead) markGuarantees() {
+	sums := map[string]*usage{}
+	for _, j := range l.order {
+		j.within = false
+		if j.outcome != 0 {
+			continue
+		}
+		team := l.n.teams[j.Team]
+		if team == nil {
+			continue
+		}
+		s := sums[j.Team]
+		if s == nil {
+			s = &usage{}
+			sums[j.Team] = s
+		}
+		left := float64(j.Tasks - j.doneCount)
+		s.cpus += left * j.CPUs
+		s.gpus += left * j.GPUs
+		j.within = s.cpus <= team.CPUs+protocol.Epsilon && s.gpus <= team.GPUs+protocol.Epsilon
+	}
+}
+
+// due is when a job should be done: by its deadline, or by the aim of its
+// class. One that can't be met any more gives way to the next.
+func (l *lead) due(j *job, wall time.Time) time.Time {
+	best := time.Time{}
+	pick := func(d time.Duration) {
+		at := j.submitted.Add(d)
+		if at.After(wall) && (best.IsZero() || at.Before(best)) {
+			best = at
+		}
+	}
+	if j.HasDeadline {
+		pick(j.Deadline)
+		pick(j.Deadline * 3 / 2)
+	}
+	for i := range l.n.cfg.Objectives {
+		o := &l.n.cfg.Objectives[i]
+		if o.Kind == "finished" && o.Class == j.Class {
+			pick(o.Within)
+		}
+	}
+	if best.IsZero() {
+		return j.submitted.Add(time.Hour)
+	}
+	return best
+}
+
+// waitingOrder lists the jobs with waiting tasks in the order they are served:
+// critical ones, then those within their team's guarantee, then by priority,
+// then by when they are due.
+func (l *lead) waitingOrder() []*job {
+	var list []*job
+	wall := l.n.now.Round(0)
+	dues := map[*job]time.Time{}
+	for _, j := range l.order {
+		if j.toStart() > 0 {
+			list = append(list, j)
+			dues[j] = l.due(j, wall)
+		}
+	}
+	rank := func(j *job) int {
+		switch {
+		case j.Priority == protocol.Critical:
+			return 0
+		case j.within:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(list, func(a, b *job) int {
+		if d := rank(a) - rank(b); d != 0 {
+			return d
+		}
+		if d := int(b.Priority) - int(a.Priority); d != 0 {
+			return d
+		}
+		return dues[a].Compare(dues[b])
+	})
+	return list
+}
+
+// underLimit reports whether one more task of the job stays within its team's
+// limit, which counts every attempt not proven gone.
+func (l *lead) underLimit(j *job) bool {
+	team, u := l.n.teams[j.Team], l.teams[j.Team]
+	if team == nil || u == nil {
+		return false
+	}
+	return u.cpus+j.CPUs <= team.CPUsMax+protocol.Epsilon && u.gpus+j.GPUs <= team.GPUsMax+protocol.Epsilon
+}
+
+// zoneAllows applies the rules about a job's other tasks. They count wherever
+// an attempt may still be.
+func (j *job) zoneAllows(zone string) bool {
+	if j.OneZone {
+		for z := range j.zones {
+			if z != zone {
+				return false
+			}
+		}
+	}
+	if j.Spread && j.zones[zone]+1 > (j.Tasks+1)/2 {
+		return false
+	}
+	return true
+}
+
+// open reports whether a machine takes new tasks: it has reported to this
+// leader, is not on its way out, and isn't silent.
+func (l *lead) open(m *machine) bool {
+	return m.up && m.recorded && m.spec != nil && !m.draining && !m.releasing && m.noticeAt.IsZero() &&
+		l.n.now.Sub(m.heard) <= l.suspectAfter()
+}
+
+// placeJob places what it can of a job and returns how many tasks are left.
+func (l *lead) placeJob(j *job) int {
+	if l.n.now.Before(j.notBefore) {
+		return j.toStart()
+	}
+	for j.toStart() > 0 && l.journal.unsaved < maxUnrecorded {
+		if !l.underLimit(j) {
+			return 0 // more machines wouldn't help
+		}
+		i := j.peekTask()
+		if i >= j.Tasks {
+			return 0
+		}
+		m := l.best(j)
+		if m == nil {
+			break
+		}
+		l.assign(j, i, m)
+	}
+	left := j.toStart()
+	if u, t := l.teams[j.Team], l.n.teams[j.Team]; j.CPUs > 0 {
+		left = min(left, int((t.CPUsMax-u.cpus)/j.CPUs+protocol.Epsilon))
+	}
+	return left
+}
+
+func (l *lead) assign(j *job, i int, m *machine) {
+	j.takeTask()
+	t := j.task(i)
+	t.attempt++
+	a := &attempt{job: j, task: i, number: t.attempt, machine: m, placed: l.n.now, since: l.n.now}
+	l.attach(a)
+	l.journal.start(a)
+}
+
+// best is the machine with the highest score; ties go to more free room.
+func (l *lead) best(j *job) *machine {
+	var best *machine
+	var bestScore, bestRoom float64
+	for _, m := range l.fleetList {
+		if !l.open(m) || !m.hasRoom(j.Job) || !m.allowed(j.Job) || !j.zoneAllows(m.zone) {
+			continue
+		}
+		if m.failures[j.ID] > 0 && len(j.failedOn) < 3 {
+			continue
+		}
+		s, room := l.score(m, j), m.spec.CPUs-m.cpus
+		if best == nil || s > bestScore+protocol.Epsilon || s > bestScore-protocol.Epsilon && room > bestRoom {
+			best, bestScore, bestRoom = m, s, room
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/coordination/preempt.go
@@ -0,0 +1,117 @@
+package coordination
+
+import (
+	"slices"
+
+	"brasskeel/internal/protocol"
+)
+
+// makeRoom stops work that has to give way to a job, as far as that gives
+// tasks of it a machine, and returns how many tasks still have none. The
+// victims' room is free once their exit is reported; the job's tasks are
+// placed then.
+func (l *lead) makeRoom(j *job, left int) int {
+	// Room that earlier rounds are freeing costs nothing and is taken first, so
+	// that no more is stopped than needed.
+	for left > 0 {
+		m, victims := l.cheapestRoom(j)
+		if m == nil {
+			return left
+		}
+		for _, a := range victims {
+			l.n.log.Debug("preempted", "job", a.job.ID, "task", a.task, "machine", m.name, "for", j.ID)
+			l.stopAttempt(a, l.saveGrace(a))
+		}
+		m.promise(j.Job)
+		left--
+	}
+	return 0
+}
+
+// mayStop tells whether an attempt gives way to a job: work of lower priority
+// does, and so does what another team runs beyond its own guarantee when the
+// job lies within its team's.
+func (l *lead) mayStop(a *attempt, j *job) bool {
+	if a.stop || a.job == j {
+		return false
+	}
+	if a.job.Priority < j.Priority {
+		return true
+	}
+	return j.within && a.job.Team != j.Team && !a.job.within && a.job.Kind == protocol.Batch && l.beyond(a.job.Team)
+}
+
+func (l *lead) beyond(team string) bool {
+	u, t := l.teams[team], l.n.teams[team]
+	return u != nil && t != nil && (u.cpus > t.CPUs+protocol.Epsilon || u.gpus > t.GPUs+protocol.Epsilon)
+}
+
+// wasted is the work lost when an attempt is stopped now, in seconds of its
+// resources.
+func (l *lead) wasted(a *attempt) float64 {
+	if a.state != protocol.Running {
+		return 0
+	}
+	d := l.n.now.Sub(a.since)
+	if a.job.Checkpoint > 0 {
+		d = a.job.Save // it saves, and only that time is lost
+	}
+	return d.Seconds() * (a.job.CPUs + 8*a.job.GPUs)
+}
+
+// cheapestRoom finds the machine where stopping the least work makes room for
+// one task of the job.
+func (l *lead) cheapestRoom(j *job) (*machine, []*attempt) {
+	var best *machine
+	var bestVictims []*attempt
+	bestCost := 0.0
+	for _, m := range l.fleetList {
+		if !l.open(m) || !m.allowed(j.Job) || !j.zoneAllows(m.zone) || m.failures[j.ID] > 0 {
+			continue
+		}
+		cpus, gpus, mem := m.spec.CPUs-m.cpus, m.spec.GPUs-m.gpus, m.spec.MemGB-m.mem
+		freed, freedMem := m.stopping()
+		cpus += freed.cpus - m.promised.cpus
+		gpus += freed.gpus - m.promised.gpus
+		mem += freedMem - m.promisedMem
+		fits := func() bool {
+			return cpus >= j.CPUs-protocol.Epsilon && gpus >= j.GPUs-protocol.Epsilon && mem >= j.MemGB-protocol.Epsilon
+		}
+		var candidates, victims []*attempt
+		for _, a := range m.sorted() {
+			if l.mayStop(a, j) {
+				candidates = append(candidates, a)
+			}
+		}
+		slices.SortStableFunc(candidates, func(a, b *attempt) int {
+			if d := int(a.job.Priority) - int(b.job.Priority); d != 0 {
+				return d
+			}
+			switch wa, wb := l.wasted(a), l.wasted(b); {
+			case wa < wb:
+				return -1
+			case wa > wb:
+				return 1
+			}
+			return 0
+		})
+		cost := 0.0
+		for _, a := range candidates {
+			if fits() {
+				break
+			}
+			victims = append(victims, a)
+			cost += l.wasted(a) + 1
+			cpus += a.job.CPUs
+			gpus += a.job.GPUs
+			mem += a.job.MemGB
+		}
+		if !fits() {
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestVictims, bestCost = m, victims, cost
+		}
+	}
+	return best, bestVictims
+}
--- /dev/null
+++ b/internal/coordination/score.go
@@ -0,0 +1,111 @@
+package coordination
+
+import (
+	"brasskeel/internal/protocol"
+)
+
+// imageCache is what a machine is taken to hold. Reports carry no image lists,
+// so it is inferred: a task that runs had its image, and the worker keeps the
+// most recently used ones within its space.
+type imageCache struct {
+	images []cachedImage // most recently used last
+	used   float64
+}
+
+type cachedImage struct {
+	name string
+	gb   float64
+}
+
+func (c *imageCache) reset() { c.images, c.used = c.images[:0], 0 }
+
+// add notes the use of an image.
+func (c *imageCache) add(name string, gb, space float64) {
+	for i := range c.images {
+		if c.images[i].name == name {
+			it := c.images[i]
+			copy(c.images[i:], c.images[i+1:])
+			c.images[len(c.images)-1] = it
+			return
+		}
+	}
+	c.images = append(c.images, cachedImage{name, gb})
+	c.used += gb
+	for c.used > space && len(c.images) > 1 {
+		c.used -= c.images[0].gb
+		c.images = append(c.images[:0], c.images[1:]...)
+	}
+}
+
+// bytes is how much of an image the machine holds.
+func (c *imageCache) bytes(name string) float64 {
+	for i := range c.images {
+		if c.images[i].name == name {
+			return c.images[i].gb
+		}
+	}
+	return 0
+}
+
+// imageShare is the matched share of a job's image on a machine. An image that
+// other tasks there already wait for counts as held: it is fetched once for
+// all of them, and a new image would otherwise scatter over many machines
+// before the first of them is seen to hold it.
+func (m *machine) imageShare(j *protocol.Job) float64 {
+	if j.ImageGB <= 0 {
+		return 1
+	}
+	if m.wanted[j.Image] > 0 {
+		return 1
+	}
+	return min(1, m.images.bytes(j.Image)/j.ImageGB)
+}
+
+// freeShare is the machine's free share, averaged over the resources that the
+// job asks for.
+func (m *machine) freeShare(j *protocol.Job) float64 {
+	sum, n := 0.0, 0.0
+	if j.CPUs > 0 && m.spec.CPUs > 0 {
+		sum += (m.spec.CPUs - m.cpus) / m.spec.CPUs
+		n++
+	}
+	if j.GPUs > 0 && m.spec.GPUs > 0 {
+		sum += (m.spec.GPUs - m.gpus) / m.spec.GPUs
+		n++
+	}
+	if j.MemGB > 0 && m.spec.MemGB > 0 {
+		sum += (m.spec.MemGB - m.mem) / m.spec.MemGB
+		n++
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / n
+}
+
+// hasRoom reports whether one more task of the job fits.
+func (m *machine) hasRoom(j *protocol.Job) bool {
+	cpus, gpus, mem := m.cpus+j.CPUs, m.gpus+j.GPUs, m.mem+j.MemGB
+	if cpus > m.spec.CPUs+protocol.Epsilon || gpus > m.spec.GPUs+protocol.Epsilon || mem > m.spec.MemGB+protocol.Epsilon {
+		return false
+	}
+	if m.promised == (usage{}) {
+		return true
+	}
+	// What is left after the tasks that others were stopped for.
+	freed, freedMem := m.stopping()
+	return cpus+m.promised.cpus-freed.cpus <= m.spec.CPUs+protocol.Epsilon &&
+		gpus+m.promised.gpus-freed.gpus <= m.spec.GPUs+protocol.Epsilon &&
+		mem+m.promisedMem-freedMem <= m.spec.MemGB+protocol.Epsilon
+}
+
+// allowed reports whether the job's own rules let it run on the machine.
+func (m *machine) allowed(j *protocol.Job) bool {
+	return j.AllowsType(m.typ) && (j.Zone == "" || j.Zone == m.zone) && (j.Spot || !m.spot)
+}
+
+// score ranks a machine with room for a task: the cached share of its image
+// and the free share of the machine, each times its weight.
+func (l *lead) score(m *machine, j *job) float64 {
+	return l.n.op.ImageWeight*m.imageShare(j.Job) + l.n.op.RoomWeight*m.freeShare(j.Job)
+}
--- /dev/null
+++ b/internal/coordination/store.go
@@ -0,0 +1,149 @@
+package coordination
+
+import (
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// storeTimeout is how long the state service has to answer: now and then it
+// takes some hundred milliseconds.
+const storeTimeout = 1500 * time.Millisecond
+
+// watchWait is how long a watch stays open without news.
+const watchWait = 8 * time.Second
+
+// store sends one request to the state service and notes whether it works.
+func (n *Node) store(method, target string, body []byte, timeout time.Duration, done func(Outcome)) {
+	n.storeCost.Spend(n.now, 1)
+	n.call(State, "", method, target, body, timeout, func(o Outcome) {
+		n.noteStore(o)
+		done(o)
+	})
+}
+
+// storeWatch is store for watches, whose silence says nothing.
+func (n *Node) storeWatch(prefix string, after uint64, done func(Outcome)) {
+	n.storeCost.Spend(n.now, 1)
+	n.call(State, "", "GET", protocol.WatchTarget(prefix, after, watchWait), nil, watchWait+4*time.Second, func(o Outcome) {
+		if o.Answered && o.Status == 503 {
+			n.noteStore(o)
+		}
+		done(o)
+	})
+}
+
+func (n *Node) noteStore(o Outcome) {
+	switch {
+	case o.Answered && o.Status != 503 && o.Status < 500 && o.Status != 429:
+		if !n.storeBad.IsZero() && n.now.Sub(n.storeBad) > time.Second {
+			n.log.Info("state service answers again", "after", n.now.Sub(n.storeBad))
+		}
+		n.storeOK, n.storeBad = n.now, time.Time{}
+	case o.Answered && o.Status == 429:
+		// It works, and we ask too much.
+	default:
+		if n.storeBad.IsZero() {
+			n.storeBad = n.now
+		}
+	}
+}
+
+// storeDown reports whether the state service has refused or ignored this
+// node for longer than a hiccup.
+func (n *Node) storeDown() bool {
+	return !n.storeBad.IsZero() && n.now.Sub(n.storeBad) > 1200*time.Millisecond
+}
+
+// storeGet reads one key; ok is false when nothing is known.
+func (n *Node) storeGet(key string, done func(it protocol.Item, found, ok bool)) {
+	n.store("GET", protocol.KeyTarget(key), nil, storeTimeout, func(o Outcome) {
+		switch {
+		case o.Answered && o.Status == 404:
+			done(protocol.Item{}, false, true)
+		case o.Answered && o.Status == 200:
+			it, err := protocol.ParseItem(o.Body)
+			done(it, err == nil, err == nil)
+		default:
+			done(protocol.Item{}, false, false)
+		}
+	})
+}
+
+// storeList reads all keys with a prefix, page by page, retrying until it has
+// them or alive says to stop. The revision is that of the first page, so a
+// watch from it misses nothing.
+func (n *Node) storeList(prefix string, alive func() bool, done func(items []protocol.Item, revision uint64)) {
+	var items []protocol.Item
+	var first uint64
+	var page func(after string)
+	page = func(after string) {
+		n.store("GET", protocol.RangeTarget(prefix, after, 500), nil, 2*storeTimeout, func(o Outcome) {
+			if !alive() {
+				return
+			}
+			if o.Answered && o.Status == 200 {
+				got, more, revision, err := protocol.ParseRange(o.Body)
+				if err == nil && !(more && len(got) == 0) {
+					if first == 0 {
+						first = revision
+					}
+					items = append(items, got...)
+					if more {
+						page(got[len(got)-1].Key)
+						return
+					}
+					done(items, first)
+					return
+				}
+			}
+			n.after(250*time.Millisecond+n.jitter(100*time.Millisecond), func() {
+				if alive() {
+					page(after)
+				}
+			})
+		})
+	}
+	page("")
+}
+
+// txnResult is what came of a transaction.
+type txnResult uint8
+
+const (
+	txnApplied txnResult = iota + 1
+	txnFailed            // a condition didn't hold; nothing was done
+	txnRefused           // not executed and may be sent again
+	txnNoLease           // an expired lease was named; nothing was done
+	txnUnknown           // may have been applied, or may yet be
+)
+
+// storeTxn sends a transaction.
+func (n *Node) storeTxn(t *protocol.Txn, done func(r txnResult, revision uint64, failed []string)) {
+	n.store("POST", protocol.PathMulti, protocol.TxnBody(t), storeTimeout, func(o Outcome) {
+		switch {
+		case !o.Answered && o.NotSent:
+			done(txnRefused, 0, nil)
+		case !o.Answered:
+			done(txnUnknown, 0, nil)
+		case o.Status == 200:
+			if revision, err := protocol.ParseCommitted(o.Body); err == nil {
+				done(txnApplied, revision, nil)
+				return
+			}
+			done(txnUnknown, 0, nil)
+		case o.Status == 409:
+			if failed, err := protocol.ParseFailed(o.Body); err == nil {
+				done(txnFailed, 0, failed)
+				return
+			}
+			done(txnUnknown, 0, nil)
+		case o.Status == 503 || o.Status == 429:
+			done(txnRefused, 0, nil)
+		case o.Status == 400:
+			done(txnNoLease, 0, nil)
+		default:
+			done(txnUnknown, 0, nil)
+		}
+	})
+}
--- /dev/null
+++ b/internal/protocol/store.go
@@ -0,0 +1,219 @@
+package protocol
+
+import (
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Paths of the state service's interface.
+const (
+	PathKeys    = "/keys"
+	PathMulti   = "/multi"
+	PathLeases  = "/leases"
+	PathChanges = "/changes"
+)
+
+// Item is one key of the state service with its value.
+type Item struct {
+	Key     string
+	Value   json.RawMessage
+	Version uint64
+	Lease   uint64
+}
+
+// Condition is a key's expected version; 0 expects it to be absent.
+type Condition struct {
+	Key     string `json:"path"`
+	Version uint64 `json:"entry"`
+}
+
+// Op writes or deletes one key.
+type Op struct {
+	Put    string          `json:"write,omitempty"`
+	Delete string          `json:"remove,omitempty"`
+	Value  json.RawMessage `json:"data,omitempty"`
+	Lease  uint64          `json:"warrant,omitempty"`
+}
+
+// Txn is one transaction.
+type Txn struct {
+	If   []Condition `json:"when"`
+	Then []Op        `json:"then"`
+}
+
+// Event is one change that a watch tells of.
+type Event struct {
+	Key     string
+	Deleted bool
+	Value   json.RawMessage
+	Version uint64
+}
+
+type wireItem struct {
+	Key     string          `json:"path"`
+	Value   json.RawMessage `json:"data"`
+	Version uint64          `json:"entry"`
+	Lease   uint64          `json:"warrant"`
+}
+
+func (w *wireItem) item() (Item, error) {
+	if w.Key == "" || w.Version == 0 {
+		return Item{}, errOdd
+	}
+	return Item{Key: w.Key, Value: w.Value, Version: w.Version, Lease: w.Lease}, nil
+}
+
+// KeyTarget is the target that reads one key.
+func KeyTarget(key string) string { return PathKeys + "/" + key }
+
+// ParseItem reads one key's value.
+func ParseItem(body []byte) (Item, error) {
+	var w wireItem
+	if err := json.Unmarshal(body, &w); err != nil {
+		return Item{}, err
+	}
+	return w.item()
+}
+
+// RangeTarget is the target that reads one page of the keys with a prefix.
+func RangeTarget(prefix, after string, limit int) string {
+	t := PathKeys + "?starts=" + escape(prefix) + "&limit=" + strconv.Itoa(limit)
+	if after != "" {
+		t += "&after=" + escape(after)
+	}
+	return t
+}
+
+// ParseRange reads one page of keys and the revision it shows.
+func ParseRange(body []byte) (items []Item, more bool, revision uint64, err error) {
+	var w struct {
+		Items    []wireItem `json:"entries"`
+		More     *bool      `json:"more"`
+		Revision *uint64    `json:"logbook"`
+	}
+	if err = json.Unmarshal(body, &w); err != nil {
+		return nil, false, 0, err
+	}
+	if w.Items == nil || w.More == nil || w.Revision == nil {
+		return nil, false, 0, errOdd
+	}
+	items = make([]Item, 0, len(w.Items))
+	for i := range w.Items {
+		it, err := w.Items[i].item()
+		if err != nil {
+			return nil, false, 0, err
+		}
+		items = append(items, it)
+	}
+	return items, *w.More, *w.Revision, nil
+}
+
+// TxnBody is the body of a transaction.
+func TxnBody(t *Txn) []byte {
+	if t.If == nil {
+		t.If = []Condition{}
+	}
+	if t.Then == nil {
+		t.Then = []Op{}
+	}
+	b, _ := json.Marshal(t)
+	return b
+}
+
+// ParseCommitted reads the revision of a transaction that was applied.
+func ParseCommitted(body []byte) (uint64, error) {
+	var w struct {
+		Revision *uint64 `json:"logbook"`
+	}
+	if err := json.Unmarshal(body, &w); err != nil {
+		return 0, err
+	}
+	if w.Revision == nil {
+		return 0, errOdd
+	}
+	return *w.Revision, nil
+}
+
+// ParseFailed reads which conditions kept a transaction from being applied.
+func ParseFailed(body []byte) ([]string, error) {
+	var w struct {
+		Failed []string `json:"failed"`
+	}
+	if err := json.Unmarshal(body, &w); err != nil {
+		return nil, err
+	}
+	if len(w.Failed) == 0 {
+		return nil, errOdd
+	}
+	return w.Failed, nil
+}
+
+// LeaseBody asks for a lease.
+func LeaseBody(ttl time.Duration) []byte {
+	return []byte(`{"ttlMs":` + strconv.FormatInt(ttl.Milliseconds(), 10) + `}`)
+}
+
+// ParseLease reads the id of a new lease.
+func ParseLease(body []byte) (uint64, error) {
+	var w struct {
+		Lease uint64 `json:"warrant"`
+	}
+	if err := json.Unmarshal(body, &w); err != nil {
+		return 0, err
+	}
+	if w.Lease == 0 {
+		return 0, errOdd
+	}
+	return w.Lease, nil
+}
+
+// LeaseTarget is the target of a lease; TouchTarget renews it.
+func LeaseTarget(lease uint64) string { return PathLeases + "/" + strconv.FormatUint(lease, 10) }
+
+// TouchTarget is the target that renews a lease.
+func TouchTarget(lease uint64) string { return LeaseTarget(lease) + "/touch" }
+
+// WatchTarget is the target of a watch on a prefix.
+func WatchTarget(prefix string, after uint64, wait time.Duration) string {
+	return PathChanges + "?starts=" + escape(prefix) + "&after=" + strconv.FormatUint(after, 10) +
+		"&blockMs=" + strconv.FormatInt(wait.Milliseconds(), 10)
+}
+
+// ParseEvents reads what a watch tells.
+func ParseEvents(body []byte) ([]Event, uint64, error) {
+	var w struct {
+		Revision *uint64 `json:"logbook"`
+		Events   []struct {
+			Put     string          `json:"write"`
+			Delete  string          `json:"remove"`
+			Value   json.RawMessage `json:"data"`
+			Version uint64          `json:"entry"`
+		} `json:"news"`
+	}
+	if err := json.Unmarshal(body, &w); err != nil {
+		return nil, 0, err
+	}
+	if w.Revision == nil {
+		return nil, 0, errOdd
+	}
+	events := make([]Event, 0, len(w.Events))
+	for _, e := range w.Events {
+		switch {
+		case e.Put != "":
+			events = append(events, Event{Key: e.Put, Value: e.Value, Version: e.Version})
+		case e.Delete != "":
+			events = append(events, Event{Key: e.Delete, Deleted: true, Version: e.Version})
+		default:
+			return nil, 0, errOdd
+		}
+	}
+	return events, *w.Revision, nil
+}
+
+// escape makes a key safe in a query and leaves its slashes as they are.
+func escape(key string) string {
+	return strings.ReplaceAll(url.QueryEscape(key), "%2F", "/")
+}
--- /dev/null
+++ b/internal/protocol/users.go
@@ -0,0 +1,241 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// MaxTasks is the largest number of tasks a job may have.
+const MaxTasks = 100_000
+
+// Longest names and durations taken from users. Names end up in records whose
+// size is limited, durations in time.Duration.
+const (
+	maxName    = 200
+	maxTypes   = 64
+	maxSeconds = 1e9
+	maxAmount  = 1e9
+)
+
+const idPrefix = "run-"
+
+// ValidID reports whether id has the form of a job id.
+func ValidID(id string) bool {
+	if !strings.HasPrefix(id, idPrefix) {
+		return false
+	}
+	digits := id[len(idPrefix):]
+	if len(digits) < 6 || len(digits) > 18 {
+		return false
+	}
+	for i := 0; i < len(digits); i++ {
+		if digits[i] < '0' || digits[i] > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// Paths of the users' interface.
+const (
+	PathJobs   = "/v2/runs"
+	PathHealth = "/up"
+	PathReport = "/v1/report"
+)
+
+// Route is what a request target asks for.
+type Route uint8
+
+// Routes of the controllers' interface.
+const (
+	RouteNone Route = iota
+	RouteJobs
+	RouteJob
+	RouteCancel
+	RouteHealth
+	RouteReport
+)
+
+// ParseTarget finds the route of a request target and the job id in it.
+func ParseTarget(target string) (Route, string) {
+	if i := strings.IndexByte(target, '?'); i >= 0 {
+		target = target[:i]
+	}
+	switch target {
+	case PathJobs:
+		return RouteJobs, ""
+	case PathHealth:
+		return RouteHealth, ""
+	case PathReport:
+		return RouteReport, ""
+	}
+	rest, ok := strings.CutPrefix(target, PathJobs+"/")
+	if !ok || rest == "" {
+		return RouteNone, ""
+	}
+	if id, ok := strings.CutSuffix(rest, "/cancel"); ok {
+		return RouteCancel, id
+	}
+	if strings.IndexByte(rest, '/') >= 0 {
+		return RouteNone, ""
+	}
+	return RouteJob, rest
+}
+
+var kinds = map[string]Kind{"batch": Batch, "daemon": Service}
+
+var priorities = map[string]Priority{"critical": Critical, "urgent": Urgent, "standard": Standard, "low": Low}
+
+var jobStates = [...]string{Queued: "queued", JobRunning: "running", Done: "done", Cancelled: "aborted"}
+
+type wireJob struct {
+	ID       *string  `json:"nameId"`
+	Class    *string  `json:"berth"`
+	Team     *string  `json:"crew"`
+	Kind     *string  `json:"rig"`
+	Priority *string  `json:"precedence"`
+	Tasks    *int64   `json:"oars"`
+	CPUs     *float64 `json:"cpus"`
+	GPUs     *float64 `json:"gpus"`
+	MemGB    *float64 `json:"memGb"`
+	Image    *string  `json:"hull"`
+	ImageGB  *float64 `json:"pullGb"`
+	Types    []string `json:"hullForms"`
+	Zone     *string  `json:"harbour"`
+	OneZone  *bool    `json:"oneZone"`
+	Spread   *bool    `json:"apart"`
+	Spot     *bool    `json:"driftwood"`
+	Estimate *float64 `json:"passageS"`
+	Ckpt     *float64 `json:"mooringS"`
+	Save     *float64 `json:"stowS"`
+	Deadline *float64 `json:"tideS"`
+}
+
+// ParseJob reads a submission. The error names the field that is wrong.
+func ParseJob(body []byte) (*Job, error) {
+	body = bytes.TrimSpace(body)
+	if len(body) == 0 || body[0] != '{' {
+		return nil, fmt.Errorf("the body is not a JSON object")
+	}
+	var w wireJob
+	if err := json.Unmarshal(body, &w); err != nil {
+		return nil, fmt.Errorf("bad JSON: %w", err)
+	}
+	j := &Job{}
+	for _, f := range []struct {
+		name string
+		from *string
+		to   *string
+	}{{"nameId", w.ID, &j.ID}, {"berth", w.Class, &j.Class}, {"crew", w.Team, &j.Team}, {"hull", w.Image, &j.Image}} {
+		if f.from == nil || *f.from == "" || len(*f.from) > maxName {
+			return nil, fmt.Errorf("%s is missing or not a name", f.name)
+		}
+		*f.to = *f.from
+	}
+	if !ValidID(j.ID) {
+		return nil, fmt.Errorf("nameId is not of the form %s000000", idPrefix)
+	}
+	if w.Kind == nil || kinds[*w.Kind] == 0 {
+		return nil, fmt.Errorf("rig is missing or unknown")
+	}
+	j.Kind = kinds[*w.Kind]
+	if w.Priority == nil || priorities[*w.Priority] == 0 {
+		return nil, fmt.Errorf("precedence is missing or unknown")
+	}
+	j.Priority = priorities[*w.Priority]
+	if w.Tasks == nil || *w.Tasks < 1 || *w.Tasks > MaxTasks {
+		return nil, fmt.Errorf("oars is missing or not within 1 to %d", MaxTasks)
+	}
+	j.Tasks = int(*w.Tasks)
+	for _, f := range []struct {
+		name string
+		from *float64
+		to   *float64
+	}{{"cpus", w.CPUs, &j.CPUs}, {"gpus", w.GPUs, &j.GPUs}, {"memGb", w.MemGB, &j.MemGB}, {"pullGb", w.ImageGB, &j.ImageGB}} {
+		if f.from == nil || !validAmount(*f.from, maxAmount) {
+			return nil, fmt.Errorf("%s is missing or not an amount", f.name)
+		}
+		*f.to = *f.from
+	}
+	for _, f := range []struct {
+		name string
+		from *float64
+		to   *time.Duration
+	}{{"passageS", w.Estimate, &j.Estimate}, {"mooringS", w.Ckpt, &j.Checkpoint}, {"stowS", w.Save, &j.Save}} {
+		if f.from == nil || !validAmount(*f.from, maxSeconds) {
+			return nil, fmt.Errorf("%s is missing or not a duration", f.name)
+		}
+		*f.to = Seconds(*f.from)
+	}
+	for _, f := range []struct {
+		name string
+		from *bool
+		to   *bool
+	}{{"oneZone", w.OneZone, &j.OneZone}, {"apart", w.Spread, &j.Spread}, {"driftwood", w.Spot, &j.Spot}} {
+		if f.from == nil {
+			return nil, fmt.Errorf("%s is missing", f.name)
+		}
+		*f.to = *f.from
+	}
+	if w.Types != nil {
+		if len(w.Types) == 0 || len(w.Types) > maxTypes {
+			return nil, fmt.Errorf("hullForms names no type or too many")
+		}
+		for _, t := range w.Types {
+			if t == "" || len(t) > maxName {
+				return nil, fmt.Errorf("hullForms holds something that is not a name")
+			}
+		}
+		j.Types = w.Types
+	}
+	if w.Zone != nil {
+		if *w.Zone == "" || len(*w.Zone) > maxName {
+			return nil, fmt.Errorf("harbour is not a name")
+		}
+		j.Zone = *w.Zone
+	}
+	if w.Deadline != nil {
+		if !validAmount(*w.Deadline, maxSeconds) {
+			return nil, fmt.Errorf("tideS is not a duration")
+		}
+		j.Deadline, j.HasDeadline = Seconds(*w.Deadline), true
+	}
+	return j, nil
+}
+
+func validAmount(v, most float64) bool {
+	return v >= 0 && v <= most && !math.IsNaN(v)
+}
+
+// Seconds turns the wire's decimal seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// JobAnswer is the body that tells a user of a job.
+func JobAnswer(id string, state JobState) []byte {
+	return []byte(`{"nameId":` + strconv.Quote(id) + `,"bearing":"` + jobStates[state] + `"}`)
+}
+
+// JobStatus is the body that answers a poll.
+func JobStatus(id string, state JobState, done, running int) []byte {
+	b := make([]byte, 0, 96)
+	b = append(b, `{"nameId":`...)
+	b = strconv.AppendQuote(b, id)
+	b = append(b, `,"bearing":"`...)
+	b = append(b, jobStates[state]...)
+	b = append(b, `","done":`...)
+	b = strconv.AppendInt(b, int64(done), 10)
+	b = append(b, `,"running":`...)
+	b = strconv.AppendInt(b, int64(running), 10)
+	return append(b, '}')
+}
+
+// ErrorAnswer is the body of every refusal.
+func ErrorAnswer(reason string) []byte {
+	b, _ := json.Marshal(map[string]string{"error": reason})
+	return b
+}
--- /dev/null
+++ b/internal/protocol/workers.go
@@ -0,0 +1,144 @@
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Paths of the workers' interface.
+const (
+	PathOrders = "/commands"
+	PathShow   = "/show"
+)
+
+type wireReport struct {
+	Machine string     `json:"deck"`
+	Addr    string     `json:"endpoint"`
+	Type    string     `json:"hullForm"`
+	Zone    string     `json:"harbour"`
+	Spot    bool       `json:"driftwood"`
+	Session *uint64    `json:"watch"`
+	Seq     *uint64    `json:"logSeq"`
+	Token   uint64     `json:"helm"`
+	Notice  *float64   `json:"recallS"`
+	Tasks   []wireTask `json:"oars"`
+}
+
+type wireTask struct {
+	Task    string `json:"oar"`
+	Attempt uint64 `json:"launch"`
+	State   string `json:"bearing"`
+	Why     string `json:"wreckCause"`
+	Saved   bool   `json:"kept"`
+}
+
+var taskStates = map[string]TaskState{"fetching": Fetching, "running": Running, "saving": Saving, "exited": Exited}
+
+var exitReasons = map[string]ExitReason{"done": ExitDone, "halted": ExitStopped, "error": ExitError,
+	"no_room": ExitNoRoom, "busy": ExitBusy, "unknown": ExitUnknown}
+
+var errReport = errors.New("not a worker's report")
+
+// ParseReport reads a worker's report, from a request or from a response. A
+// report that can't be understood in full is refused whole: a task left out
+// of it would be taken for gone.
+func ParseReport(body []byte) (*Report, error) {
+	var w wireReport
+	if err := json.Unmarshal(body, &w); err != nil {
+		return nil, err
+	}
+	if w.Machine == "" || len(w.Machine) > maxName || w.Session == nil || w.Seq == nil || *w.Session == 0 {
+		return nil, errReport
+	}
+	r := &Report{Machine: w.Machine, Addr: w.Addr, Type: w.Type, Zone: w.Zone, Spot: w.Spot,
+		Session: *w.Session, Seq: *w.Seq, Token: w.Token}
+	if w.Notice != nil {
+		if !validAmount(max(*w.Notice, 0), maxSeconds) {
+			return nil, errReport
+		}
+		r.HasNotice, r.Notice = true, Seconds(max(*w.Notice, 0))
+	}
+	if len(w.Tasks) > 0 {
+		r.Tasks = make([]TaskReport, 0, len(w.Tasks))
+	}
+	for i := range w.Tasks {
+		t := &w.Tasks[i]
+		job, index, ok := splitTask(t.Task)
+		state := taskStates[t.State]
+		if !ok || state == 0 {
+			return nil, errReport
+		}
+		r.Tasks = append(r.Tasks, TaskReport{Job: job, Index: index, Attempt: t.Attempt, State: state,
+			Why: exitReasons[t.Why], Saved: t.Saved})
+	}
+	return r, nil
+}
+
+func splitTask(name string) (job string, index int, ok bool) {
+	i := strings.LastIndexByte(name, '/')
+	if i <= 0 || len(name) > maxName {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(name[i+1:])
+	if err != nil || n < 0 || n >= MaxTasks {
+		return "", 0, false
+	}
+	return name[:i], n, true
+}
+
+func appendOrders(b []byte, orders []Order) []byte {
+	b = append(b, `"orders":[`...)
+	for i := range orders {
+		o := &orders[i]
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, `{"orderKind":"`...)
+		b = append(b, [...]string{Start: "run", Stop: "stop", Forget: "clear"}[o.Kind]...)
+		b = append(b, `","oar":"`...)
+		b = append(b, o.Job...)
+		b = append(b, '/')
+		b = strconv.AppendInt(b, int64(o.Index), 10)
+		b = append(b, `","launch":`...)
+		b = strconv.AppendUint(b, o.Attempt, 10)
+		if o.Kind == Stop {
+			b = append(b, `,"slackS":`...)
+			b = strconv.AppendFloat(b, float64(o.Grace)/float64(time.Second), 'f', 1, 64)
+		}
+		b = append(b, '}')
+	}
+	return append(b, ']')
+}
+
+// ReportAnswer is the body of a 200 to a report.
+func ReportAnswer(token uint64, orders []Order) []byte {
+	b := make([]byte, 0, 48+96*len(orders))
+	b = append(b, `{"helm":`...)
+	b = strconv.AppendUint(b, token, 10)
+	b = append(b, ',')
+	b = appendOrders(b, orders)
+	return append(b, '}')
+}
+
+// Redirect is the body of a 421: the leader's name, or none.
+func Redirect(leader string) []byte {
+	if leader == "" {
+		return []byte(`{}`)
+	}
+	return []byte(`{"flagship":` + strconv.Quote(leader) + `}`)
+}
+
+// DirectOrders is the body of a POST to a worker.
+func DirectOrders(token, session uint64, orders []Order) []byte {
+	b := make([]byte, 0, 64+96*len(orders))
+	b = append(b, `{"helm":`...)
+	b = strconv.AppendUint(b, token, 10)
+	b = append(b, `,"watch":`...)
+	b = strconv.AppendUint(b, session, 10)
+	b = append(b, ',')
+	b = appendOrders(b, orders)
+	return append(b, '}')
+}
--- /dev/null
+++ b/internal/transport/loop.go
@@ -0,0 +1,473 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+)
+
+// Errors a call can end with instead of a response. All of them leave open
+// whether the request was carried out, except ErrNotSent.
+var (
+	ErrTimeout = errors.New("transport: no response in time")
+	ErrClosed  = errors.New("transport: connection closed before the response")
+	ErrNotSent = errors.New("transport: the request was not sent")
+)
+
+// Time and number limits of connections.
+const (
+	dialTimeout    = 2 * time.Second
+	requestTimeout = 10 * time.Second // from the first byte of a request to its last
+	idleCallLife   = 45 * time.Second // an unused outgoing connection is closed after it
+	maxDialsAtOnce = 48
+	sweepInterval  = time.Second
+)
+
+// Handler receives what arrives. All its methods run on the event loop.
+type Handler interface {
+	// Ready runs once, before anything else.
+	Ready()
+	// Request must be answered by one call of Loop.Reply with its id.
+	Request(id uint64, method, target string, body []byte)
+}
+
+// Loop is the process's only event loop: it accepts, calls out, and runs
+// whatever else is posted to it, so that the state behind Handler needs no lock.
+type Loop struct {
+	gnet.BuiltinEventEngine
+	// OnReady, if set, runs once when work can be posted.
+	OnReady  func()
+	addr     string
+	handler  Handler
+	log      *slog.Logger
+	eng      gnet.Engine
+	wakeAddr string
+	once     sync.Once
+	start    sync.Mutex
+	el       gnet.EventLoop
+
+	maxConns int
+	nextID   uint64
+	accepted map[*served]struct{}
+	pending  map[uint64]*served
+	out      []byte
+	idle     map[string][]*outgoing
+	outgoing int
+	dials    int
+	waiting  []*call
+}
+
+// served is one accepted connection.
+type served struct {
+	conn    gnet.Conn
+	request uint64 // being answered; 0 when none
+	close   bool   // close after the answer
+	partial time.Time
+	active  time.Time
+	// continued is set once 100 Continue went out for the request being read.
+	continued bool
+}
+
+// outgoing is one connection of ours to a service.
+type outgoing struct {
+	conn gnet.Conn
+	addr string
+	call *call
+	used time.Time
+	dead bool
+}
+
+type call struct {
+	addr, method, target string
+	body                 []byte
+	deadline             time.Time
+	timer                *time.Timer
+	conn                 *outgoing
+	done                 func(status int, body []byte, err error)
+}
+
+// NewLoop prepares a loop that will listen on addr. wakeAddr is a service
+// dialled at the start, since the loop can take work only once it has had a
+// connection. At most maxConns sockets are open at a time.
+func NewLoop(addr, wakeAddr string, maxConns int, handler Handler, log *slog.Logger) *Loop {
+	return &Loop{
+		addr: addr, wakeAddr: wakeAddr, handler: handler, log: log, maxConns: maxConns,
+		accepted: map[*served]struct{}{}, pending: map[uint64]*served{}, idle: map[string][]*outgoing{},
+	}
+}
+
+// Run serves until the engine fails.
+func (l *Loop) Run() error {
+	return gnet.Run(l, "tcp://"+l.addr,
+		gnet.WithNumEventLoop(1),
+		gnet.WithReusePort(true), // with it gnet accepts on the same loop, without a second thread
+		gnet.WithReadBufferCap(64<<10),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogLevel(logging.ErrorLevel),
+	)
+}
+
+// OnBoot implements gnet.EventHandler.
+func (l *Loop) OnBoot(eng gnet.Engine) gnet.Action {
+	l.eng = eng
+	go l.wake()
+	return gnet.None
+}
+
+// wake makes a first connection so that the loop becomes known.
+func (l *Loop) wake() {
+	for {
+		c, err := net.DialTimeout("tcp", l.wakeAddr, dialTimeout)
+		if err == nil {
+			o := &outgoing{addr: l.wakeAddr, used: time.Now()}
+			if _, err = l.eng.Register(gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), o)); err == nil {
+				return
+			}
+			c.Close()
+		}
+		time.Sleep(200 * time.Millisecond)
+		l.start.Lock()
+		known := l.el != nil
+		l.start.Unlock()
+		if known {
+			return
+		}
+	}
+}
+
+// Post runs f on the loop; it may be called from any goroutine once Ready ran.
+func (l *Loop) Post(f func()) {
+	_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { f(); return nil }))
+}
+
+// After runs f on the loop when d has passed.
+func (l *Loop) After(d time.Duration, f func()) *time.Timer {
+	return time.AfterFunc(d, func() { l.Post(f) })
+}
+
+// OnOpen implements gnet.EventHandler.
+func (l *Loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if l.el == nil {
+		l.start.Lock()
+		l.el = c.EventLoop()
+		l.start.Unlock()
+		l.After(sweepInterval, l.sweep)
+		if l.OnReady != nil {
+			l.OnReady()
+		}
+		l.handler.Ready()
+	}
+	if o, ok := c.Context().(*outgoing); ok {
+		o.conn = c
+		l.outgoing++
+		if o.call != nil && o.call.done == nil { // gave up while dialling
+			o.call = nil
+		}
+		if o.call == nil {
+			l.release(o)
+			return nil, gnet.None
+		}
+		l.send(o, o.call)
+		return nil, gnet.None
+	}
+	s := &served{conn: c, active: time.Now()}
+	c.SetContext(s)
+	l.accepted[s] = struct{}{}
+	// Outgoing connections keep a quarter of the sockets: without the state
+	// service no request can be answered anyway.
+	if len(l.accepted) > l.maxConns*3/4 {
+		l.shedOldest()
+	}
+	return nil, gnet.None
+}
+
+// shedOldest closes the accepted connection that has been idle longest, so
+// that silent clients can't lock out the others.
+func (l *Loop) shedOldest() {
+	var oldest *served
+	for s := range l.accepted {
+		if s.request == 0 && (oldest == nil || s.active.Before(oldest.active)) {
+			oldest = s
+		}
+	}
+	if oldest != nil {
+		delete(l.accepted, oldest)
+		_ = oldest.conn.Close()
+	}
+}
+
+// OnClose implements gnet.EventHandler.
+func (l *Loop) OnClose(c gnet.Conn, _ error) gnet.Action {
+	switch s := c.Context().(type) {
+	case *served:
+		delete(l.accepted, s)
+		if s.request != 0 {
+			delete(l.pending, s.request)
+		}
+	case *outgoing:
+		s.dead = true
+		l.outgoing--
+		if s.call != nil {
+			// A body without a length ends with the connection.
+			buf, _ := c.Peek(-1)
+			var m message
+			if _, err := parseResponse(buf, true, &m); err == nil {
+				l.finish(s.call, m.status, append([]byte(nil), m.body...), nil)
+			} else {
+				l.finish(s.call, 0, nil, ErrClosed)
+			}
+		} else {
+			list := l.idle[s.addr]
+			for i, o := range list {
+				if o == s {
+					l.idle[s.addr] = append(list[:i], list[i+1:]...)
+					break
+				}
+			}
+		}
+		l.dialNext()
+	}
+	return gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (l *Loop) OnTraffic(c gnet.Conn) gnet.Action {
+	switch s := c.Context().(type) {
+	case *served:
+		return l.readRequest(s)
+	case *outgoing:
+		return l.readResponse(s)
+	}
+	return gnet.Close
+}
+
+func (l *Loop) readRequest(s *served) gnet.Action {
+	now := time.Now()
+	s.active = now
+	// Requests are not pipelined; whatever comes early waits, bounded.
+	if s.request != 0 {
+		if s.conn.InboundBuffered() > maxRequestBody+maxHead {
+			return gnet.Close
+		}
+		return gnet.None
+	}
+	buf, err := s.conn.Peek(-1)
+	if err != nil {
+		return gnet.Close
+	}
+	if len(buf) == 0 {
+		return gnet.None
+	}
+	var m message
+	n, err := parseRequest(buf, &m)
+	if errors.Is(err, errIncomplete) {
+		if s.partial.IsZero() {
+			s.partial = now
+		}
+		if m.expectContinue && !s.continued {
+			s.continued = true
+			_, _ = s.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}
+		return gnet.None
+	}
+	if err != nil {
+		l.out = appendResponse(l.out[:0], StatusOf(err), 0, []byte(`{"error":"malformed request"}`), true)
+		_, _ = s.conn.Write(l.out)
+		return gnet.Close
+	}
+	s.partial, s.continued = time.Time{}, false
+	s.close = m.close
+	l.nextID++
+	s.request = l.nextID
+	l.pending[s.request] = s
+	id, method, target := s.request, m.method, m.target
+	body := append([]byte(nil), m.body...)
+	_, _ = s.conn.Discard(n)
+	l.handler.Request(id, method, target, body)
+	return gnet.None
+}
+
+// Reply answers a request. A reply to a connection that is gone is dropped.
+func (l *Loop) Reply(id uint64, status, retryAfter int, body []byte) {
+	s := l.pending[id]
+	if s == nil {
+		return
+	}
+	delete(l.pending, id)
+	s.request = 0
+	l.out = appendResponse(l.out[:0], status, retryAfter, body, s.close)
+	_, _ = s.conn.Write(l.out)
+	if s.close {
+		// Post so that gnet is out of this connection's callback by then.
+		l.Post(func() { _ = s.conn.Close() })
+		return
+	}
+	if s.conn.InboundBuffered() > 0 {
+		l.Post(func() {
+			if _, open := l.accepted[s]; open && l.readRequest(s) == gnet.Close {
+				_ = s.conn.Close()
+			}
+		})
+	}
+}
+
+// Pending is the number of requests being answered.
+func (l *Loop) Pending() int { return len(l.pending) }
+
+// Call sends one request and runs done with the outcome, exactly once, on the
+// loop.
+func (l *Loop) Call(addr, method, target string, body []byte, timeout time.Duration, done func(status int, body []byte, err error)) {
+	c := &call{addr: addr, method: method, target: target, body: body, deadline: time.Now().Add(timeout), done: done}
+	c.timer = l.After(timeout, func() { l.expire(c) })
+	if list := l.idle[addr]; len(list) > 0 {
+		o := list[len(list)-1]
+		l.idle[addr] = list[:len(list)-1]
+		o.call, c.conn = c, o
+		l.send(o, c)
+		return
+	}
+	l.waiting = append(l.waiting, c)
+	l.dialNext()
+}
+
+func (l *Loop) dialNext() {
+	for len(l.waiting) > 0 && l.dials < maxDialsAtOnce && l.outgoing+l.dials < l.maxConns/4 {
+		c := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		if c.done == nil {
+			continue
+		}
+		l.dials++
+		go l.dial(c)
+	}
+}
+
+func (l *Loop) dial(c *call) {
+	wait := min(dialTimeout, time.Until(c.deadline))
+	if wait <= 0 {
+		l.Post(func() { l.dials--; l.finish(c, 0, nil, ErrNotSent); l.dialNext() })
+		return
+	}
+	conn, err := net.DialTimeout("tcp", c.addr, wait)
+	if err != nil {
+		l.Post(func() { l.dials--; l.finish(c, 0, nil, ErrNotSent); l.dialNext() })
+		return
+	}
+	l.Post(func() {
+		l.dials--
+		o := &outgoing{addr: c.addr, call: c, used: time.Now()}
+		c.conn = o
+		if _, err := l.el.Enroll(gnet.NewContext(context.Background(), o), conn); err != nil {
+			conn.Close()
+			l.finish(c, 0, nil, ErrNotSent)
+		}
+	})
+}
+
+func (l *Loop) send(o *outgoing, c *call) {
+	l.out = appendRequest(l.out[:0], c.method, c.addr, c.target, c.body)
+	c.body = nil
+	if _, err := o.conn.Write(l.out); err != nil {
+		_ = o.conn.Close()
+	}
+}
+
+func (l *Loop) readResponse(o *outgoing) gnet.Action {
+	buf, err := o.conn.Peek(-1)
+	if err != nil {
+		return gnet.Close
+	}
+	if o.call == nil { // nothing was asked
+		return gnet.Close
+	}
+	var m message
+	n, err := parseResponse(buf, false, &m)
+	if errors.Is(err, errIncomplete) {
+		return gnet.None
+	}
+	c := o.call
+	if err != nil {
+		o.call = nil
+		l.finish(c, 0, nil, ErrClosed)
+		return gnet.Close
+	}
+	body := append([]byte(nil), m.body...)
+	_, _ = o.conn.Discard(n)
+	o.call = nil
+	action := gnet.None
+	if m.close || o.conn.InboundBuffered() > 0 {
+		action = gnet.Close
+	} else {
+		l.release(o)
+	}
+	l.finish(c, m.status, body, nil)
+	return action
+}
+
+// release makes a connection available for the next call.
+func (l *Loop) release(o *outgoing) {
+	o.used = time.Now()
+	l.idle[o.addr] = append(l.idle[o.addr], o)
+}
+
+func (l *Loop) expire(c *call) {
+	if c.done == nil {
+		return
+	}
+	if c.conn != nil && c.conn.conn != nil {
+		// The peer may still carry the request out; the connection is of no
+		// more use either way.
+		o := c.conn
+		o.call = nil
+		l.finish(c, 0, nil, ErrTimeout)
+		if !o.dead {
+			_ = o.conn.Close()
+		}
+		return
+	}
+	l.finish(c, 0, nil, ErrNotSent)
+}
+
+func (l *Loop) finish(c *call, status int, body []byte, err error) {
+	if c.done == nil {
+		return
+	}
+	done := c.done
+	c.done = nil
+	c.timer.Stop()
+	done(status, body, err)
+}
+
+// sweep ends half-sent requests and unused outgoing connections.
+func (l *Loop) sweep() {
+	now := time.Now()
+	for s := range l.accepted {
+		if !s.partial.IsZero() && now.Sub(s.partial) > requestTimeout {
+			l.out = appendResponse(l.out[:0], 408, 0, []byte(`{"error":"request took too long"}`), true)
+			_, _ = s.conn.Write(l.out)
+			_ = s.conn.Close()
+		}
+	}
+	for addr, list := range l.idle {
+		keep := list[:0]
+		for _, o := range list {
+			if now.Sub(o.used) > idleCallLife {
+				_ = o.conn.Close()
+			} else {
+				keep = append(keep, o)
+			}
+		}
+		if len(keep) == 0 {
+			delete(l.idle, addr)
+		} else {
+			l.idle[addr] = keep
+		}
+	}
+	l.After(sweepInterval, l.sweep)
+}
