--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -429,5 +429,6 @@
 	n.types = make(map[string]*protocol.MachineType, len(types))
 	for i := range types {
 		n.types[types[i].Name] = &types[i]
+		n.log.Debug("machine type", "type", types[i].Name, "zones", types[i].Zones, "price", types[i].Price, "spot", types[i].SpotPrice)
 	}
 }
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -33,6 +33,7 @@
 	jobs      map[string]*job
 	order     []*job // by submission
 	teams     map[string]*usage
+	stopped   map[string]usage // of the teams' work, what was told to stop
 	machines  map[string]*machine
 	fleetList []*machine           // the same, in the order they became known
 	gone      map[string]time.Time // machines proven gone, while lists may still show them
@@ -124,7 +125,7 @@
 
 func (n *Node) becomeLeader(term, version, lease uint64, validUntil time.Time) {
 	l := &lead{n: n, term: term, version: version, lease: lease, validUntil: validUntil, elected: n.now, phase: loading,
-		jobs: map[string]*job{}, teams: map[string]*usage{}, machines: map[string]*machine{},
+		jobs: map[string]*job{}, teams: map[string]*usage{}, stopped: map[string]usage{}, machines: map[string]*machine{},
 		gone: map[string]time.Time{}}
 	for name := range n.teams {
 		l.teams[name] = &usage{}
@@ -456,6 +457,8 @@
 	if s == protocol.Running {
 		a.job.running++
 		a.job.started++
+		l.n.log.Debug("task runs", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name,
+			"placed", l.n.now.Sub(a.placed), "age", l.n.now.Round(0).Sub(a.job.submitted))
 	}
 	a.state, a.since = s, l.n.now
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -17,6 +17,7 @@
 	l.markGuarantees()
 	order := l.waitingOrder()
 	l.fleet.unmet = l.fleet.unmet[:0]
+	l.countStopping()
 	for _, m := range l.fleetList {
 		m.promised, m.promisedMem = usage{}, 0
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -19,8 +19,9 @@
 			return left
 		}
 		for _, a := range victims {
-			l.n.log.Debug("preempted", "job", a.job.ID, "task", a.task, "machine", m.name, "for", j.ID)
+			l.n.log.Debug("preempted", "job", a.job.ID, "task", a.task, "machine", m.name, "for", j.ID, "lost", l.wasted(a))
 			l.stopAttempt(a, l.saveGrace(a))
+			l.noteStopped(a)
 		}
 		m.promise(j.Job)
 		left--
@@ -41,9 +42,36 @@
 	return j.within && a.job.Team != j.Team && !a.job.within && a.job.Kind == protocol.Batch && l.beyond(a.job.Team)
 }
 
+// beyond reports whether a team runs more than its guarantee, even once what
+// was told to stop is gone. Without counting that, one round would stop far
+// more than what is beyond.
 func (l *lead) beyond(team string) bool {
 	u, t := l.teams[team], l.n.teams[team]
-	return u != nil && t != nil && (u.cpus > t.CPUs+protocol.Epsilon || u.gpus > t.GPUs+protocol.Epsilon)
+	if u == nil || t == nil {
+		return false
+	}
+	s := l.stopped[team]
+	return u.cpus-s.cpus > t.CPUs+protocol.Epsilon || u.gpus-s.gpus > t.GPUs+protocol.Epsilon
+}
+
+// noteStopped counts what a round has stopped of a team's work.
+func (l *lead) noteStopped(a *attempt) {
+	s := l.stopped[a.job.Team]
+	s.cpus += a.job.CPUs
+	s.gpus += a.job.GPUs
+	l.stopped[a.job.Team] = s
+}
+
+// countStopping finds what each team has stopping at the start of a round.
+func (l *lead) countStopping() {
+	clear(l.stopped)
+	for _, m := range l.fleetList {
+		for _, a := range m.attempts {
+			if a.stop {
+				l.noteStopped(a)
+			}
+		}
+	}
 }
 
 // wasted is the work lost when an attempt is stopped now, in seconds of its
