--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -68,7 +68,8 @@
 	errors    int            // since the last success
 	failedOn  map[string]struct{}
 	notBefore time.Time
-	started   int // attempts that ever ran
+	pressing  bool // its patience has a timer
+	started   int  // attempts that ever ran
 }
 
 // chunk is a run of a job's tasks that share a record.
@@ -374,6 +375,9 @@
 		}
 		a := &attempt{job: j, task: base + t.Offset, number: t.Attempt, machine: m, placed: l.n.now,
 			recorded: true, inherited: true, since: l.n.now}
+		// Outcomes are read before chunks: a job that was cancelled just
+		// before the leadership changed still has attempts to be stopped.
+		a.stop = j.outcome != 0
 		l.attach(a)
 	}
 	// Tasks up to the last touched chunk that aren't live or done start again.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -26,7 +26,7 @@
 		if left > 0 && n.now.Before(j.notBefore) {
 			continue
 		}
-		if left > 0 && (j.Priority == protocol.Critical || j.within) {
+		if left > 0 && l.presses(j) {
 			left = l.makeRoom(j, left)
 		}
 		if left > 0 {
@@ -91,43 +91,68 @@
 	}
 }
 
-// due is when a job should be done: by its deadline, or by the aim of its
-// class. One that can't be met any more gives way to the next.
-func (l *lead) due(j *job, wall time.Time) time.Time {
-	best := time.Time{}
-	pick := func(d time.Duration) {
-		at := j.submitted.Add(d)
-		if at.After(wall) && (best.IsZero() || at.Before(best)) {
-			best = at
-		}
-	}
+// goal is what a job can still reach: the aim of its class or its deadline.
+type goal struct {
+	missed int       // earlier ones that can't be met any more
+	due    time.Time // of the first that can
+	work   float64   // what is left to run, in seconds of a CPU
+}
+
+// goalOf finds the first goal that the job still meets if its tasks start now
+// and run as long as estimated.
+func (l *lead) goalOf(j *job, wall time.Time) goal {
+	est := max(j.Estimate, time.Second)
+	g := goal{work: est.Seconds() * float64(j.Tasks-j.doneCount) * max(j.CPUs, 0.1)}
+	var goals []time.Time
 	if j.HasDeadline {
-		pick(j.Deadline)
-		pick(j.Deadline * 3 / 2)
+		goals = append(goals, j.submitted.Add(j.Deadline), j.submitted.Add(j.Deadline*3/2))
+	} else {
+		for i := range l.n.cfg.Objectives {
+			o := &l.n.cfg.Objectives[i]
+			if o.Kind == "finished" && o.Class == j.Class {
+				goals = append(goals, j.submitted.Add(o.Within))
+			}
+		}
+		slices.SortFunc(goals, time.Time.Compare)
 	}
-	for i := range l.n.cfg.Objectives {
-		o := &l.n.cfg.Objectives[i]
-		if o.Kind == "finished" && o.Class == j.Class {
-			pick(o.Within)
+	for _, at := range goals {
+		if wall.Add(est).Before(at) {
+			g.due = at
+			return g
 		}
+		g.missed++
 	}
-	if best.IsZero() {
-		return j.submitted.Add(time.Hour)
+	g.due = j.submitted.Add(time.Hour)
+	return g
+}
+
+// compare orders jobs of the same standing: first those whose first goal is
+// still in reach; those with deadlines by when they are due, and the others,
+// where it counts how many are in time, by the work left.
+func (g goal) compare(h goal, deadlines bool) int {
+	if g.missed != h.missed {
+		return g.missed - h.missed
 	}
-	return best
+	if deadlines || g.work == h.work {
+		return g.due.Compare(h.due)
+	}
+	if g.work < h.work {
+		return -1
+	}
+	return 1
 }
 
 // waitingOrder lists the jobs with waiting tasks in the order they are served:
 // critical ones, then those within their team's guarantee, then by priority,
-// then by when they are due.
+// then by what they can still reach.
 func (l *lead) waitingOrder() []*job {
 	var list []*job
 	wall := l.n.now.Round(0)
-	dues := map[*job]time.Time{}
+	goals := map[*job]goal{}
 	for _, j := range l.order {
 		if j.toStart() > 0 {
 			list = append(list, j)
-			dues[j] = l.due(j, wall)
+			goals[j] = l.goalOf(j, wall)
 		}
 	}
 	rank := func(j *job) int {
@@ -146,7 +171,7 @@
 		if d := int(b.Priority) - int(a.Priority); d != 0 {
 			return d
 		}
-		return dues[a].Compare(dues[b])
+		return goals[a].compare(goals[b], a.HasDeadline && b.HasDeadline)
 	})
 	return list
 }
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"brasskeel/internal/protocol"
 )
@@ -29,6 +30,43 @@
 	return 0
 }
 
+// patience is how long a job within its team's guarantee waits for room that
+// frees by itself before work of others is stopped for it: a part of the time
+// that users allow it. Tasks are short, so most of the room comes by itself,
+// and what is stopped has to run again.
+func (l *lead) patience() time.Duration {
+	for i := range l.n.cfg.Objectives {
+		if o := &l.n.cfg.Objectives[i]; o.Kind == "guarantee" && o.Within > 0 {
+			return o.Within * 2 / 5
+		}
+	}
+	return 2 * time.Second
+}
+
+// presses reports whether others may be stopped for a job now.
+func (l *lead) presses(j *job) bool {
+	if j.Priority == protocol.Critical {
+		return true
+	}
+	if !j.within {
+		return false
+	}
+	if wait := j.submitted.Add(l.patience()).Sub(l.n.now.Round(0)); wait > 0 {
+		if !j.pressing {
+			j.pressing = true
+			l.n.after(wait+time.Millisecond, l.askPlaceAlive)
+		}
+		return false
+	}
+	return true
+}
+
+func (l *lead) askPlaceAlive() {
+	if l.alive() {
+		l.askPlace()
+	}
+}
+
 // mayStop tells whether an attempt gives way to a job: work of lower priority
 // does, and so does what another team runs beyond its own guarantee when the
 // job lies within its team's.
@@ -115,6 +153,11 @@
 			if d := int(a.job.Priority) - int(b.job.Priority); d != 0 {
 				return d
 			}
+			// The latest job first: taking the least work first would hit the
+			// tasks that were just restarted again and again.
+			if d := b.job.submitted.Compare(a.job.submitted); d != 0 {
+				return d
+			}
 			switch wa, wb := l.wasted(a), l.wasted(b); {
 			case wa < wb:
 				return -1
