--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -90,6 +90,7 @@
 // Outcome is the record of a job's final state.
 type Outcome struct {
 	State string `json:"state"`
+	Done  int    `json:"done,omitempty"` // tasks, for display
 }
 
 const (
@@ -98,27 +99,27 @@
 )
 
 // EncodeOutcome makes the record of a final state.
-func EncodeOutcome(s protocol.JobState) json.RawMessage {
+func EncodeOutcome(s protocol.JobState, done int) json.RawMessage {
 	state := outcomeDone
 	if s == protocol.Cancelled {
 		state = outcomeCancelled
 	}
-	return Encode(Outcome{State: state})
+	return Encode(Outcome{State: state, Done: done})
 }
 
-// DecodeOutcome reads a final state.
-func DecodeOutcome(raw json.RawMessage) (protocol.JobState, error) {
+// DecodeOutcome reads a final state and the number of tasks done.
+func DecodeOutcome(raw json.RawMessage) (s protocol.JobState, done int, err error) {
 	var o Outcome
 	if err := json.Unmarshal(raw, &o); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	switch o.State {
 	case outcomeDone:
-		return protocol.Done, nil
+		return protocol.Done, o.Done, nil
 	case outcomeCancelled:
-		return protocol.Cancelled, nil
+		return protocol.Cancelled, o.Done, nil
 	}
-	return 0, errors.New("bookkeeping: unknown outcome")
+	return 0, 0, errors.New("bookkeeping: unknown outcome")
 }
 
 // Machine is the record of a rented machine.
--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -19,24 +19,30 @@
 // final states are written to the state service before the user is told, and
 // the leader learns of them from there.
 type admission struct {
-	finals  map[string]protocol.JobState // told or read; can't change any more
-	known   map[string]struct{}          // accepted jobs
-	polls   []poll                       // wait for the next check
+	finals  map[string]final    // told or read; can't change any more
+	known   map[string]struct{} // accepted jobs
+	polls   []poll              // wait for the next check
 	inCheck bool
 	waiting int
 }
 
+// final is a job's final state and the number of its tasks that were done.
+type final struct {
+	state protocol.JobState
+	done  int
+}
+
 type poll struct {
 	id  uint64
 	job string
 }
 
 func (a *admission) init() {
-	a.finals = map[string]protocol.JobState{}
+	a.finals = map[string]final{}
 	a.known = map[string]struct{}{}
 }
 
-func (a *admission) setFinal(job string, s protocol.JobState) {
+func (a *admission) setFinal(job string, s protocol.JobState, done int) {
 	if len(a.finals) >= maxFinals {
 		for k := range a.finals {
 			delete(a.finals, k)
@@ -45,7 +51,7 @@
 			}
 		}
 	}
-	a.finals[job] = s
+	a.finals[job] = final{s, done}
 	delete(a.known, job)
 }
 
@@ -109,8 +115,8 @@
 		n.reply(id, 400, protocol.ErrorAnswer(err.Error()))
 		return
 	}
-	if s, ok := n.admission.finals[job.ID]; ok {
-		n.reply(id, 200, protocol.JobAnswer(job.ID, s))
+	if f, ok := n.admission.finals[job.ID]; ok {
+		n.reply(id, 200, protocol.JobAnswer(job.ID, f.state))
 		return
 	}
 	if len(n.types) == 0 || n.storeDown() {
@@ -209,12 +215,12 @@
 			case !ok:
 				done(0, false)
 			case found:
-				s, err := bookkeeping.DecodeOutcome(it.Value)
+				s, count, err := bookkeeping.DecodeOutcome(it.Value)
 				if err != nil {
 					done(0, false)
 					return
 				}
-				n.admission.setFinal(job, s)
+				n.admission.setFinal(job, s, count)
 				done(s, true)
 			case active:
 				n.admission.setKnown(job)
@@ -232,9 +238,8 @@
 		n.reply(id, 404, protocol.ErrorAnswer("no such job"))
 		return
 	}
-	if s, ok := n.admission.finals[job]; ok {
-		_, done, _ := n.progress(job)
-		n.reply(id, 200, protocol.JobStatus(job, s, done, 0))
+	if f, ok := n.admission.finals[job]; ok {
+		n.reply(id, 200, protocol.JobStatus(job, f.state, f.done, 0))
 		return
 	}
 	// Anything but a final state may have been overtaken at another node, so
@@ -264,8 +269,8 @@
 
 func (n *Node) answerPoll(id uint64, job string) {
 	s, done, running := n.progress(job)
-	if final, ok := n.admission.finals[job]; ok {
-		s, running = final, 0
+	if f, ok := n.admission.finals[job]; ok {
+		s, done, running = f.state, f.done, 0
 	}
 	n.reply(id, 200, protocol.JobStatus(job, s, done, running))
 }
@@ -322,8 +327,8 @@
 		n.reply(id, 404, protocol.ErrorAnswer("no such job"))
 		return
 	}
-	if s, ok := n.admission.finals[job]; ok {
-		n.reply(id, 200, protocol.JobAnswer(job, s))
+	if f, ok := n.admission.finals[job]; ok {
+		n.reply(id, 200, protocol.JobAnswer(job, f.state))
 		return
 	}
 	if n.storeDown() {
@@ -351,16 +356,17 @@
 			n.lookup(job, finish)
 			return
 		}
+		_, done, _ := n.progress(job)
 		// The outcome is created at most once, by this or by the leader's
 		// "done"; whoever comes second learns what the first wrote. The user is
 		// told only after that.
 		n.storeTxn(&protocol.Txn{
 			If:   []protocol.Condition{{Key: bookkeeping.KeyActive(job), Version: it.Version}, {Key: bookkeeping.KeyOutcome(job)}},
-			Then: []protocol.Op{{Put: bookkeeping.KeyOutcome(job), Value: bookkeeping.EncodeOutcome(protocol.Cancelled)}},
+			Then: []protocol.Op{{Put: bookkeeping.KeyOutcome(job), Value: bookkeeping.EncodeOutcome(protocol.Cancelled, done)}},
 		}, func(r txnResult, _ uint64, _ []string) {
 			switch r {
 			case txnApplied:
-				n.admission.setFinal(job, protocol.Cancelled)
+				n.admission.setFinal(job, protocol.Cancelled, done)
 				finish(protocol.Cancelled, true)
 			case txnFailed, txnUnknown:
 				n.lookup(job, finish)
--- a/internal/coordination/journal.go
+++ b/internal/coordination/journal.go
@@ -155,7 +155,7 @@
 		}
 		b.ends = append(b.ends, j)
 		b.when(bookkeeping.KeyOutcome(j.ID), 0)
-		b.op(protocol.Op{Put: bookkeeping.KeyOutcome(j.ID), Value: bookkeeping.EncodeOutcome(protocol.Done)})
+		b.op(protocol.Op{Put: bookkeeping.KeyOutcome(j.ID), Value: bookkeeping.EncodeOutcome(protocol.Done, j.Tasks)})
 	}
 	for len(g.puts) > 0 && fits() {
 		m := g.puts[0]
@@ -294,7 +294,7 @@
 			}
 		}
 		for _, j := range b.ends {
-			n.admission.setFinal(j.ID, protocol.Done)
+			n.admission.setFinal(j.ID, protocol.Done, j.Tasks)
 			l.jobOver(j, protocol.Done)
 		}
 		for _, key := range b.removes {
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -280,12 +280,12 @@
 		return
 	}
 	if id, ok := cutPrefix(key, bookkeeping.PrefixOutcome); ok {
-		s, err := bookkeeping.DecodeOutcome(value)
+		s, done, err := bookkeeping.DecodeOutcome(value)
 		if err != nil {
 			l.n.log.Error("unreadable outcome", "job", id, "err", err)
 			return
 		}
-		l.n.admission.setFinal(id, s)
+		l.n.admission.setFinal(id, s, done)
 		if j := l.jobs[id]; j != nil {
 			l.jobOver(j, s)
 		}
@@ -312,8 +312,8 @@
 		at--
 	}
 	l.order = slices.Insert(l.order, at, j)
-	if s, ok := l.n.admission.finals[j.ID]; ok {
-		l.jobOver(j, s)
+	if f, ok := l.n.admission.finals[j.ID]; ok {
+		l.jobOver(j, f.state)
 	}
 }
 
--- /dev/null
+++ b/internal/protocol/farside.go
@@ -0,0 +1,269 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// This file speaks the other side of the interfaces: what workers, the cloud,
+// the state service and users send. Stand-ins use it.
+
+func nameOf[T comparable](names map[string]T, v T) string {
+	for name, x := range names {
+		if x == v {
+			return name
+		}
+	}
+	return ""
+}
+
+// EncodeJob makes the body of a submission.
+func EncodeJob(j *Job) []byte {
+	kind, priority := nameOf(kinds, j.Kind), nameOf(priorities, j.Priority)
+	tasks := int64(j.Tasks)
+	sec := func(d time.Duration) *float64 { s := d.Seconds(); return &s }
+	w := wireJob{ID: &j.ID, Class: &j.Class, Team: &j.Team, Kind: &kind, Priority: &priority, Tasks: &tasks,
+		CPUs: &j.CPUs, GPUs: &j.GPUs, MemGB: &j.MemGB, Image: &j.Image, ImageGB: &j.ImageGB, Types: j.Types,
+		OneZone: &j.OneZone, Spread: &j.Spread, Spot: &j.Spot,
+		Estimate: sec(j.Estimate), Ckpt: sec(j.Checkpoint), Save: sec(j.Save)}
+	if j.Zone != "" {
+		w.Zone = &j.Zone
+	}
+	if j.HasDeadline {
+		w.Deadline = sec(j.Deadline)
+	}
+	return Encode(w)
+}
+
+// Encode marshals a value that can't fail to be one.
+func Encode(v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// ParseJobAnswer reads what a user is told of a job.
+func ParseJobAnswer(body []byte) (id string, s JobState, done, running int, err error) {
+	var w struct {
+		ID      string `json:"nameId"`
+		State   string `json:"bearing"`
+		Done    int    `json:"done"`
+		Running int    `json:"running"`
+	}
+	if err = json.Unmarshal(body, &w); err != nil {
+		return "", 0, 0, 0, err
+	}
+	for i, name := range jobStates {
+		if name != "" && name == w.State {
+			s = JobState(i)
+		}
+	}
+	if s == 0 {
+		return "", 0, 0, 0, errOdd
+	}
+	return w.ID, s, w.Done, w.Running, nil
+}
+
+// String is the state as users read it.
+func (s JobState) String() string { return jobStates[s] }
+
+// EncodeReport makes a worker's report.
+func EncodeReport(r *Report) []byte {
+	w := wireReport{Machine: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot,
+		Session: &r.Session, Seq: &r.Seq, Token: r.Token, Tasks: []wireTask{}}
+	if r.HasNotice {
+		s := r.Notice.Seconds()
+		w.Notice = &s
+	}
+	for _, t := range r.Tasks {
+		wt := wireTask{Task: t.Job + "/" + strconv.Itoa(t.Index), Attempt: t.Attempt, State: nameOf(taskStates, t.State), Saved: t.Saved}
+		if t.Why != ExitNone {
+			wt.Why = nameOf(exitReasons, t.Why)
+		}
+		w.Tasks = append(w.Tasks, wt)
+	}
+	return Encode(w)
+}
+
+// ParseOrders reads the orders a worker is given; a token or session that is
+// not there comes back as nil.
+func ParseOrders(body []byte) (token, session *uint64, orders []Order, err error) {
+	var w struct {
+		Token   *uint64 `json:"helm"`
+		Session *uint64 `json:"watch"`
+		Orders  []struct {
+			Kind    string  `json:"orderKind"`
+			Task    string  `json:"oar"`
+			Attempt uint64  `json:"launch"`
+			Grace   float64 `json:"slackS"`
+		} `json:"orders"`
+	}
+	if err = json.Unmarshal(body, &w); err != nil {
+		return nil, nil, nil, err
+	}
+	for _, o := range w.Orders {
+		job, index, ok := splitTask(o.Task)
+		kind := map[string]OrderKind{"run": Start, "stop": Stop, "clear": Forget}[o.Kind]
+		if !ok || kind == 0 {
+			return nil, nil, nil, errOdd
+		}
+		orders = append(orders, Order{Kind: kind, Job: job, Index: index, Attempt: o.Attempt, Grace: Seconds(o.Grace)})
+	}
+	return w.Token, w.Session, orders, nil
+}
+
+// ParseRedirect reads whom a 421 names.
+func ParseRedirect(body []byte) string {
+	var w struct {
+		Leader string `json:"flagship"`
+	}
+	if json.Unmarshal(body, &w) != nil {
+		return ""
+	}
+	return w.Leader
+}
+
+// EncodeTypes makes the cloud's list of machine types.
+func EncodeTypes(types []MachineType) []byte {
+	type wire struct {
+		Name  string   `json:"label"`
+		CPUs  float64  `json:"cpus"`
+		GPUs  float64  `json:"gpus"`
+		Mem   float64  `json:"memGb"`
+		Cache float64  `json:"localGb"`
+		Fetch float64  `json:"fetchGbPerS"`
+		Price float64  `json:"rate"`
+		Spot  float64  `json:"spotPrice"`
+		Boot  float64  `json:"readyS"`
+		Zones []string `json:"harbours"`
+	}
+	list := []wire{}
+	for _, t := range types {
+		list = append(list, wire{t.Name, t.CPUs, t.GPUs, t.MemGB, t.CacheGB, t.FetchRate, t.Price, t.SpotPrice, t.Boot.Seconds(), t.Zones})
+	}
+	return Encode(map[string]any{"hullForms": list})
+}
+
+// RentRequest is what a rental asks for.
+type RentRequest struct {
+	Request string `json:"charter"`
+	Type    string `json:"hullForm"`
+	Zone    string `json:"harbour"`
+	Spot    bool   `json:"driftwood"`
+	Count   int    `json:"howMany"`
+}
+
+// ParseRent reads a rental request.
+func ParseRent(body []byte) (r RentRequest, err error) { err = json.Unmarshal(body, &r); return r, err }
+
+// EncodeNames makes the answer to a rental.
+func EncodeNames(names []string) []byte { return Encode(map[string]any{"decks": names}) }
+
+// EncodeList makes one page of the cloud's list.
+func EncodeList(list []ListedMachine, more bool) []byte {
+	type wire struct {
+		Name  string  `json:"nameId"`
+		Addr  string  `json:"endpoint"`
+		Type  string  `json:"hullForm"`
+		Zone  string  `json:"harbour"`
+		Spot  bool    `json:"driftwood"`
+		State string  `json:"bearing"`
+		Age   float64 `json:"ageS"`
+	}
+	out := []wire{}
+	for _, m := range list {
+		out = append(out, wire{m.Name, m.Addr, m.Type, m.Zone, m.Spot,
+			[...]string{Booting: "starting", Up: "running", Failed: "failed"}[m.State], m.Age.Seconds()})
+	}
+	return Encode(map[string]any{"decks": out, "more": more})
+}
+
+// CloudError makes the body of a refusal of the cloud.
+func CloudError(reason string) []byte { return Encode(map[string]string{"error": reason}) }
+
+// Query reads a target's path and parameters.
+func Query(target string) (path string, values url.Values) {
+	path, raw, _ := strings.Cut(target, "?")
+	values, err := url.ParseQuery(raw)
+	if err != nil {
+		values = url.Values{}
+	}
+	return path, values
+}
+
+// RangeQuery reads the parameters of a read or watch of keys.
+func RangeQuery(v url.Values) (prefix, after string, limit int, wait time.Duration) {
+	limit, _ = strconv.Atoi(v.Get("limit"))
+	ms, _ := strconv.ParseInt(v.Get("blockMs"), 10, 64)
+	return v.Get("starts"), v.Get("after"), limit, time.Duration(ms) * time.Millisecond
+}
+
+// ParseTxn reads a transaction.
+func ParseTxn(body []byte) (*Txn, error) {
+	var t Txn
+	d := json.NewDecoder(bytes.NewReader(body))
+	if err := d.Decode(&t); err != nil {
+		return nil, err
+	}
+	return &t, nil
+}
+
+// EncodeItem makes the answer to a read of one key.
+func EncodeItem(it Item) []byte {
+	return Encode(wireItem(it))
+}
+
+// EncodeRange makes the answer to a read of keys.
+func EncodeRange(items []Item, more bool, revision uint64) []byte {
+	list := []wireItem{}
+	for _, it := range items {
+		list = append(list, wireItem(it))
+	}
+	return Encode(map[string]any{"entries": list, "more": more, "logbook": revision})
+}
+
+// EncodeRevision makes the answer to an applied transaction, and the body of a
+// key that isn't there.
+func EncodeRevision(revision uint64) []byte { return Encode(map[string]uint64{"logbook": revision}) }
+
+// EncodeFailed makes the answer to a transaction whose conditions don't hold.
+func EncodeFailed(keys []string, revision uint64) []byte {
+	return Encode(map[string]any{"failed": keys, "logbook": revision})
+}
+
+// EncodeLease makes the answer to a new lease.
+func EncodeLease(lease uint64) []byte { return Encode(map[string]uint64{"warrant": lease}) }
+
+// ParseTTL reads the lifetime asked for a lease.
+func ParseTTL(body []byte) (time.Duration, error) {
+	var w struct {
+		TTL int64 `json:"ttlMs"`
+	}
+	err := json.Unmarshal(body, &w)
+	return time.Duration(w.TTL) * time.Millisecond, err
+}
+
+// EncodeEvents makes the answer to a watch.
+func EncodeEvents(events []Event, revision uint64) []byte {
+	type wire struct {
+		Put     string          `json:"write,omitempty"`
+		Delete  string          `json:"remove,omitempty"`
+		Value   json.RawMessage `json:"data,omitempty"`
+		Version uint64          `json:"entry"`
+	}
+	list := []wire{}
+	for _, e := range events {
+		if e.Deleted {
+			list = append(list, wire{Delete: e.Key, Version: e.Version})
+		} else {
+			list = append(list, wire{Put: e.Key, Value: e.Value, Version: e.Version})
+		}
+	}
+	return Encode(map[string]any{"news": list, "logbook": revision})
+}
--- a/internal/protocol/store.go
+++ b/internal/protocol/store.go
@@ -56,14 +56,14 @@
 	Key     string          `json:"path"`
 	Value   json.RawMessage `json:"data"`
 	Version uint64          `json:"entry"`
-	Lease   uint64          `json:"warrant"`
+	Lease   uint64          `json:"warrant,omitempty"`
 }
 
 func (w *wireItem) item() (Item, error) {
 	if w.Key == "" || w.Version == 0 {
 		return Item{}, errOdd
 	}
-	return Item{Key: w.Key, Value: w.Value, Version: w.Version, Lease: w.Lease}, nil
+	return Item(*w), nil
 }
 
 // KeyTarget is the target that reads one key.
--- /dev/null
+++ b/internal/standin/cluster.go
@@ -0,0 +1,366 @@
+// Package standin is a deterministic stand-in for everything a controller
+// deals with: the state service, the cloud, workers, users and the network
+// between them, on a simulated clock. It checks the protocol's rules at every
+// step, so that each test of it tests them too.
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"brasskeel/internal/config"
+	"brasskeel/internal/coordination"
+	"brasskeel/internal/protocol"
+)
+
+// Options shape a cluster.
+type Options struct {
+	Seed     uint64
+	Nodes    int
+	Zones    []string // of the nodes in turn; machines can be had in each
+	Machines int      // ordinary ones that run from the start, in zones in turn
+	Capacity int      // machines that can be rented per type, zone and kind
+	Log      io.Writer
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Time
+	seq uint64
+	run func()
+}
+
+type eventHeap []*event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].seq < h[j].seq
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(*event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// Cluster is a simulated deployment.
+type Cluster struct {
+	now    time.Time
+	begin  time.Time
+	events eventHeap
+	seq    uint64
+	rng    *rand.Rand
+	log    *slog.Logger
+
+	settings config.Settings
+	nodes    []*node
+	state    *stateService
+	cloud    *cloud
+	workers  map[string]*worker
+	jobs     map[string]*userJob
+	links    map[link]*cut
+	broken   []string
+	copies   bool // direct orders that were carried out arrive once more, later
+}
+
+// node is one controller's host.
+type node struct {
+	c      *Cluster
+	name   string
+	zone   string
+	core   *coordination.Node // nil while it is down
+	boots  uint64
+	wake   *event
+	wakeAt time.Time
+	reqID  uint64
+	open   map[uint64]func(status int, body []byte)
+	views  map[string][]byte
+}
+
+// link is a direction between two hosts; cut is what happens on it.
+type link struct{ from, to string }
+
+type cut struct {
+	hold bool // deliver when the cut ends
+	held []func()
+}
+
+// Types is what the stand-in cloud rents.
+func types(zones []string) []protocol.MachineType {
+	return []protocol.MachineType{
+		{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 10, FetchRate: 1, Price: 0.25, SpotPrice: 0.1, Boot: 10 * time.Second, Zones: zones},
+		{Name: "large", CPUs: 16, MemGB: 128, CacheGB: 20, FetchRate: 1, Price: 1.1, SpotPrice: 0.5, Boot: 20 * time.Second, Zones: zones},
+	}
+}
+
+// New starts a cluster.
+func New(o Options) *Cluster {
+	begin := time.Date(2026, 9, 21, 12, 0, 0, 0, time.UTC)
+	c := &Cluster{now: begin, begin: begin, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[string]*worker{},
+		jobs: map[string]*userJob{}, links: map[link]*cut{}}
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	c.log = slog.New(slog.NewTextHandler(o.Log, &slog.HandlerOptions{Level: slog.LevelDebug,
+		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+			if a.Key == slog.TimeKey {
+				return slog.String("t", c.now.Sub(begin).String())
+			}
+			return a
+		}}))
+	if len(o.Zones) == 0 {
+		o.Zones = []string{"a"}
+	}
+	c.settings = config.Settings{
+		Teams: []config.Team{
+			{Name: "red", CPUs: 16, CPUsMax: 64},
+			{Name: "blue", CPUs: 16, CPUsMax: 32},
+		},
+		Objectives:     []config.Objective{{Kind: "guarantee", Within: 5 * time.Second, Share: 0.9}},
+		ReportInterval: 2 * time.Second, WorkerLease: 15 * time.Second, CancelWithin: 40 * time.Second,
+		StateRPS: 200, StateWriteRPS: 80, ValueBytes: 8 << 10, TxnOps: 12,
+		CloudRPS: 4, ListLag: 5 * time.Second,
+		CPUShare: 0.1, MemoryBytes: 98 << 20, Sockets: 900,
+	}
+	c.state = newStateService(c)
+	c.cloud = newCloud(c, types(o.Zones), o.Capacity)
+	for i := range o.Machines {
+		c.cloud.start("small", o.Zones[i%len(o.Zones)], false, 0)
+	}
+	for i := range o.Nodes {
+		c.nodes = append(c.nodes, &node{c: c, name: fmt.Sprintf("node-%d", i), zone: o.Zones[i%len(o.Zones)]})
+	}
+	for _, n := range c.nodes {
+		n.start()
+	}
+	return c
+}
+
+// Advance lets time pass.
+func (c *Cluster) Advance(d time.Duration) {
+	end := c.now.Add(d)
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(*event)
+		c.now = e.at
+		if e.run != nil {
+			e.run()
+		}
+	}
+	c.now = end
+}
+
+func (c *Cluster) after(d time.Duration, run func()) *event {
+	c.seq++
+	e := &event{at: c.now.Add(max(d, 0)), seq: c.seq, run: run}
+	heap.Push(&c.events, e)
+	return e
+}
+
+// delay is how long a message takes.
+func (c *Cluster) delay() time.Duration {
+	return time.Millisecond + time.Duration(c.rng.Int64N(int64(2*time.Millisecond)))
+}
+
+// send delivers a message from one host to another unless the link is cut.
+func (c *Cluster) send(from, to string, deliver func()) {
+	if k := c.links[link{from, to}]; k != nil {
+		if k.hold {
+			k.held = append(k.held, deliver)
+		}
+		return
+	}
+	c.after(c.delay(), deliver)
+}
+
+// Cut interrupts the network between two hosts, both ways. Held messages come
+// late, others never.
+func (c *Cluster) Cut(a, b string, hold bool) {
+	for _, l := range []link{{a, b}, {b, a}} {
+		if c.links[l] == nil {
+			c.links[l] = &cut{hold: hold}
+		}
+	}
+}
+
+// Heal ends every cut; what was held arrives in order.
+func (c *Cluster) Heal() {
+	var list []link
+	for l := range c.links {
+		list = append(list, l)
+	}
+	slices.SortFunc(list, func(a, b link) int {
+		if a.from != b.from {
+			if a.from < b.from {
+				return -1
+			}
+			return 1
+		}
+		if a.to < b.to {
+			return -1
+		}
+		return 1
+	})
+	for _, l := range list {
+		k := c.links[l]
+		delete(c.links, l)
+		for _, f := range k.held {
+			c.after(c.delay(), f)
+		}
+	}
+}
+
+// request carries a request to a server and its response back. The server may
+// answer later, once, or never; done runs when the response arrives.
+func (c *Cluster) request(from, to string, serve func(respond func(status int, body []byte)), done func(status int, body []byte)) {
+	c.send(from, to, func() {
+		answered := false
+		serve(func(status int, body []byte) {
+			if !answered {
+				answered = true
+				c.send(to, from, func() { done(status, body) })
+			}
+		})
+	})
+}
+
+func (n *node) start() {
+	c := n.c
+	n.boots++
+	s := c.settings
+	s.Name, s.Zone = n.name, n.zone
+	for _, p := range c.nodes {
+		if p != n {
+			s.Peers = append(s.Peers, config.Peer{Name: p.name, Zone: p.zone})
+		}
+	}
+	n.open = map[uint64]func(int, []byte){}
+	boot := uint64(slices.Index(c.nodes, n)+1)<<32 | n.boots
+	n.core = coordination.New(&s, config.DefaultOperator(), c.log.With("node", n.name), boot, c.now)
+	n.apply(n.core.Start(c.now))
+}
+
+// crash ends the node's process without a word.
+func (n *node) crash() {
+	n.core = nil
+	n.open = nil
+	if n.wake != nil {
+		n.wake.run = nil
+		n.wake = nil
+	}
+}
+
+// request brings a request to the node; a node that is down answers nothing,
+// as does one whose connection is cut.
+func (n *node) request(method, target string, body []byte, respond func(status int, body []byte)) {
+	if n.core == nil {
+		return
+	}
+	n.reqID++
+	n.open[n.reqID] = respond
+	n.apply(n.core.Request(n.c.now, n.reqID, method, target, body))
+}
+
+// apply does what a step of the core asks for.
+func (n *node) apply(e coordination.Effects) {
+	c, core := n.c, n.core
+	for _, r := range e.Replies {
+		if respond := n.open[r.ID]; respond != nil {
+			delete(n.open, r.ID)
+			respond(r.Status, r.Body)
+		}
+	}
+	for _, k := range e.Calls {
+		finished := false
+		finish := func(o coordination.Outcome) {
+			if !finished && n.core == core {
+				finished = true
+				n.apply(core.Result(c.now, k.ID, o))
+			}
+		}
+		c.after(k.Timeout, func() { finish(coordination.Outcome{}) })
+		done := func(status int, body []byte) {
+			finish(coordination.Outcome{Status: status, Body: body, Answered: true})
+		}
+		switch k.To {
+		case coordination.State:
+			c.request(n.name, "state", func(respond func(int, []byte)) { c.state.serve(n.name, k.Method, k.Target, k.Body, respond) }, done)
+		case coordination.Cloud:
+			c.request(n.name, "cloud", func(respond func(int, []byte)) { c.cloud.serve(k.Method, k.Target, k.Body, respond) }, done)
+		case coordination.Worker:
+			w := c.workers[k.Addr]
+			if w == nil {
+				continue
+			}
+			serve := func(respond func(int, []byte)) { w.serve(k.Method, k.Target, k.Body, respond) }
+			c.request(n.name, w.name, serve, done)
+			if c.copies && k.Method == "POST" {
+				// The same packets once more, half a minute late.
+				c.after(30*time.Second, func() { c.send(n.name, w.name, func() { serve(func(int, []byte) {}) }) })
+			}
+		}
+	}
+	for _, p := range e.Publishes {
+		for _, o := range c.nodes {
+			if o != n {
+				c.send(n.name, o.name, func() {
+					if o.core != nil {
+						o.apply(o.core.Peer(c.now, p.Body))
+					}
+				})
+			}
+		}
+	}
+	n.arm()
+}
+
+// arm plans the core's next tick.
+func (n *node) arm() {
+	if n.core == nil {
+		return
+	}
+	next := n.core.Next()
+	if next.IsZero() || n.wake != nil && n.wake.run != nil && !n.wakeAt.After(next) {
+		return
+	}
+	if n.wake != nil {
+		n.wake.run = nil
+	}
+	core := n.core
+	n.wakeAt = next
+	n.wake = n.c.after(next.Sub(n.c.now), func() {
+		n.wake = nil
+		if n.core == core {
+			n.apply(core.Tick(n.c.now))
+		}
+	})
+}
+
+// Leader is the index of the node that leads, -1 when none does.
+func (c *Cluster) Leader() int {
+	name := c.state.leader()
+	for i, n := range c.nodes {
+		if n.name == name && n.core != nil {
+			return i
+		}
+	}
+	return -1
+}
+
+// breaks notes a broken rule.
+func (c *Cluster) breaks(rule, format string, args ...any) {
+	c.broken = append(c.broken, fmt.Sprintf("%s at %s: %s", rule, c.now.Sub(c.begin).Round(time.Millisecond), fmt.Sprintf(format, args...)))
+	c.log.Error("rule broken", "rule", rule, "what", fmt.Sprintf(format, args...))
+}
+
+// Broken lists the rules broken so far.
+func (c *Cluster) Broken() []string { return c.broken }
--- /dev/null
+++ b/internal/standin/scenario_test.go
@@ -0,0 +1,378 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"brasskeel/internal/protocol"
+)
+
+// TestScenarios runs the files in testdata. A command that leaves a rule
+// broken says so in its output and fails the test, whatever the file expects.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		r := &runner{t: t}
+		datadriven.RunTest(t, path, r.run)
+	})
+}
+
+type runner struct {
+	t *testing.T
+	c *Cluster
+}
+
+func (r *runner) run(t *testing.T, d *datadriven.TestData) string {
+	if d.Cmd != "start" && r.c == nil {
+		d.Fatalf(t, "the first command must be start")
+	}
+	out := r.command(t, d)
+	if broken := r.c.Broken(); len(broken) > 0 {
+		t.Errorf("%s: rules broken:\n%s", d.Pos, strings.Join(broken, "\n"))
+	}
+	return out
+}
+
+func arg(d *datadriven.TestData, key, otherwise string) string {
+	for _, a := range d.CmdArgs {
+		if a.Key == key {
+			if len(a.Vals) == 0 {
+				return "true"
+			}
+			return strings.Join(a.Vals, ",")
+		}
+	}
+	return otherwise
+}
+
+func number(t *testing.T, d *datadriven.TestData, key, otherwise string) float64 {
+	v, err := strconv.ParseFloat(arg(d, key, otherwise), 64)
+	if err != nil {
+		d.Fatalf(t, "%s: %v", key, err)
+	}
+	return v
+}
+
+func duration(t *testing.T, d *datadriven.TestData, text string) time.Duration {
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	return v
+}
+
+// first is the first argument, which has no key.
+func first(t *testing.T, d *datadriven.TestData) string {
+	if len(d.CmdArgs) == 0 {
+		d.Fatalf(t, "%s needs an argument", d.Cmd)
+	}
+	return d.CmdArgs[0].Key
+}
+
+func (r *runner) node(t *testing.T, d *datadriven.TestData, name string) int {
+	switch name {
+	case "leader":
+		i := r.c.Leader()
+		if i < 0 {
+			d.Fatalf(t, "nobody leads")
+		}
+		return i
+	case "follower":
+		for i, n := range r.c.nodes {
+			if i != r.c.Leader() && n.core != nil {
+				return i
+			}
+		}
+		d.Fatalf(t, "nobody follows")
+	}
+	for i, n := range r.c.nodes {
+		if n.name == name {
+			return i
+		}
+	}
+	d.Fatalf(t, "no node %q", name)
+	return -1
+}
+
+// host finds a machine by name, or the one that runs "job/task".
+func (r *runner) host(t *testing.T, d *datadriven.TestData, name string) *host {
+	if job, task, ok := strings.Cut(name, "/"); ok {
+		i, _ := strconv.Atoi(task)
+		if j := r.c.jobs[job]; j != nil {
+			for w := range j.on[i] {
+				return w.host
+			}
+		}
+		d.Fatalf(t, "%s is on no machine", name)
+	}
+	for _, h := range r.c.cloud.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	d.Fatalf(t, "no machine %q", name)
+	return nil
+}
+
+// await lets time pass until something has come of a request.
+func (r *runner) await(done *bool) {
+	for i := 0; !*done && i < 6000; i++ {
+		r.c.Advance(time.Millisecond)
+	}
+}
+
+func (r *runner) command(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "start":
+		o := Options{Seed: uint64(number(t, d, "seed", "1")), Nodes: int(number(t, d, "nodes", "3")),
+			Machines: int(number(t, d, "machines", "4")), Capacity: int(number(t, d, "capacity", "20")),
+			Zones: strings.Split(arg(d, "zones", "a"), ",")}
+		if os.Getenv("SCENARIO_LOG") != "" {
+			o.Log = os.Stderr
+		}
+		r.c = New(o)
+		return ""
+	case "advance":
+		r.c.Advance(duration(t, d, first(t, d)))
+		return ""
+	case "submit":
+		return r.submit(t, d)
+	case "poll":
+		node := r.node(t, d, arg(d, "node", "leader"))
+		var out string
+		done := false
+		r.c.Poll(node, first(t, d), func(status int, text string) {
+			out, done = strings.TrimSpace(fmt.Sprintf("%d %s", status, text)), true
+		})
+		r.await(&done)
+		return out
+	case "cancel":
+		node := r.node(t, d, arg(d, "node", "leader"))
+		var out string
+		done := false
+		r.c.CancelJob(node, first(t, d), func(status int, state string) {
+			out, done = strings.TrimSpace(fmt.Sprintf("%d %s", status, state)), true
+		})
+		r.await(&done)
+		return out
+	case "request":
+		// request METHOD TARGET, with the body as input.
+		if len(d.CmdArgs) < 2 {
+			d.Fatalf(t, "request needs a method and a target")
+		}
+		node := r.node(t, d, arg(d, "node", "leader"))
+		var out string
+		done := false
+		r.c.user(node, d.CmdArgs[0].Key, d.CmdArgs[1].Key, []byte(d.Input), func(status int, body []byte) {
+			out, done = fmt.Sprintf("%d %s", status, body), true
+		})
+		r.await(&done)
+		return out
+	case "crash":
+		if first(t, d) == "all" {
+			for _, n := range r.c.nodes {
+				n.crash()
+			}
+			return ""
+		}
+		r.c.nodes[r.node(t, d, first(t, d))].crash()
+		return ""
+	case "restart":
+		for _, n := range r.c.nodes {
+			if n.core == nil && (first(t, d) == "all" || n.name == first(t, d)) {
+				n.start()
+			}
+		}
+		return ""
+	case "state":
+		switch first(t, d) {
+		case "down":
+			r.c.state.setOutage(true)
+		case "up":
+			r.c.state.setOutage(false)
+			clear(r.c.state.refused)
+			r.c.state.late = 0
+		case "refuse":
+			r.c.state.refused[r.c.nodes[r.node(t, d, arg(d, "node", "leader"))].name] = true
+		case "late":
+			r.c.state.late = duration(t, d, arg(d, "by", "2s"))
+		default:
+			d.Fatalf(t, "unknown state of the state service")
+		}
+		return ""
+	case "cloud":
+		k := r.c.cloud
+		switch first(t, d) {
+		case "down":
+			k.outage = true
+		case "up":
+			k.outage, k.late, k.never = false, 0, false
+		case "late":
+			k.late = duration(t, d, arg(d, "by", "5s"))
+		case "never":
+			k.never = true
+		default:
+			d.Fatalf(t, "unknown state of the cloud")
+		}
+		return ""
+	case "machine":
+		// machine WHAT NAME
+		h := r.host(t, d, d.CmdArgs[1].Key)
+		switch first(t, d) {
+		case "hang":
+			h.worker.hang(true)
+		case "resume":
+			if h.worker == nil || h.worker.dead {
+				return "gone"
+			}
+			h.worker.hang(false)
+		case "fail":
+			r.c.cloud.fail(h)
+		case "take":
+			r.c.cloud.end(h)
+		case "notice":
+			h.worker.notice = r.c.now.Add(duration(t, d, arg(d, "in", "20s")))
+			h.worker.change()
+			r.c.after(duration(t, d, arg(d, "in", "20s")), func() { r.c.cloud.end(h) })
+		case "sick":
+			h.worker.sick = true
+		default:
+			d.Fatalf(t, "unknown trouble")
+		}
+		return ""
+	case "cut":
+		// cut A B [hold]: a host, "zone:Z", "machines" or "nodes".
+		for _, a := range r.hosts(t, d, d.CmdArgs[0].Key) {
+			for _, b := range r.hosts(t, d, d.CmdArgs[1].Key) {
+				if a != b {
+					r.c.Cut(a, b, arg(d, "hold", "") != "")
+				}
+			}
+		}
+		return ""
+	case "heal":
+		r.c.Heal()
+		return ""
+	case "copies":
+		r.c.copies = first(t, d) == "on"
+		return ""
+	case "rent":
+		// A machine that nobody here asked for.
+		r.c.cloud.start(arg(d, "type", "small"), arg(d, "zone", "a"), false, time.Second)
+		return ""
+	case "leads":
+		if r.c.Leader() < 0 {
+			return "nobody"
+		}
+		return "one"
+	case "show":
+		return r.show()
+	case "jobs":
+		return r.jobStarts(t, d)
+	}
+	d.Fatalf(t, "unknown command %q", d.Cmd)
+	return ""
+}
+
+func (r *runner) hosts(t *testing.T, d *datadriven.TestData, name string) []string {
+	var list []string
+	switch zone, isZone := strings.CutPrefix(name, "zone:"); {
+	case name == "machines" || isZone:
+		for _, h := range r.c.cloud.hosts {
+			if name == "machines" || h.zone == zone {
+				list = append(list, h.name)
+			}
+		}
+		if isZone {
+			for _, n := range r.c.nodes {
+				if n.zone == zone {
+					list = append(list, n.name)
+				}
+			}
+		}
+	case name == "nodes":
+		for _, n := range r.c.nodes {
+			list = append(list, n.name)
+		}
+	case name == "leader" || name == "follower":
+		list = append(list, r.c.nodes[r.node(t, d, name)].name)
+	case strings.Contains(name, "/"):
+		list = append(list, r.host(t, d, name).name)
+	default:
+		list = append(list, name)
+	}
+	return list
+}
+
+func (r *runner) submit(t *testing.T, d *datadriven.TestData) string {
+	spec := protocol.Job{ID: first(t, d), Class: "class", Team: arg(d, "team", "red"), Kind: protocol.Batch,
+		Priority: map[string]protocol.Priority{"critical": protocol.Critical, "urgent": protocol.Urgent,
+			"standard": protocol.Standard, "low": protocol.Low}[arg(d, "priority", "standard")],
+		Tasks: int(number(t, d, "tasks", "1")), CPUs: number(t, d, "cpus", "1"), MemGB: number(t, d, "mem", "2"),
+		Image: arg(d, "image", "img-01"), ImageGB: number(t, d, "gb", "1"), Zone: arg(d, "zone", ""),
+		OneZone: arg(d, "oneZone", "") != "", Spread: arg(d, "spread", "") != "", Spot: arg(d, "spot", "") != "",
+		Checkpoint: duration(t, d, arg(d, "checkpoint", "0s")), Save: duration(t, d, arg(d, "save", "0s"))}
+	if types := arg(d, "types", ""); types != "" {
+		spec.Types = strings.Split(types, ",")
+	}
+	run := duration(t, d, arg(d, "run", "10s"))
+	if arg(d, "service", "") != "" {
+		spec.Kind = protocol.Service
+	} else {
+		spec.Estimate = run
+	}
+	node := r.node(t, d, arg(d, "node", "leader"))
+	var out string
+	done := false
+	r.c.Submit(node, spec, run, arg(d, "bad", "") != "", func(status int, state string) {
+		out, done = strings.TrimSpace(fmt.Sprintf("%d %s", status, state)), true
+	})
+	r.await(&done)
+	return out
+}
+
+// show lists what runs where, by type, zone and kind of machine.
+func (r *runner) show() string {
+	var b bytes.Buffer
+	var ids []string
+	for id := range r.c.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		j := r.c.jobs[id]
+		where := map[string]int{}
+		for task := range j.on {
+			for w := range j.on[task] {
+				kind := ""
+				if w.host.spot {
+					kind = " spot"
+				}
+				where[w.host.typ+" "+w.host.zone+kind]++
+			}
+		}
+		var places []string
+		for p, n := range where {
+			places = append(places, fmt.Sprintf("%d on %s", n, p))
+		}
+		slices.Sort(places)
+		fmt.Fprintf(&b, "%s: %s\n", id, strings.Join(places, ", "))
+	}
+	return b.String()
+}
+
+// jobStarts tells how often tasks of a job started.
+func (r *runner) jobStarts(t *testing.T, d *datadriven.TestData) string {
+	j := r.c.jobs[first(t, d)]
+	if j == nil {
+		d.Fatalf(t, "no such job")
+	}
+	return fmt.Sprintf("starts=%d completed=%d", j.starts, len(j.completed))
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,295 @@
+package standin
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// stateService is the stand-in state service.
+type stateService struct {
+	c        *Cluster
+	revision uint64
+	keys     map[string]protocol.Item
+	history  []change
+	leases   map[uint64]*lease
+	lastID   uint64
+	watches  []*watch
+	outage   bool
+	refused  map[string]bool // nodes that alone get 503
+	late     time.Duration   // transactions are applied this much late and unanswered
+}
+
+type change struct {
+	revision uint64
+	event    protocol.Event
+}
+
+type lease struct {
+	id     uint64
+	ttl    time.Duration
+	expiry *event
+	keys   map[string]bool
+	left   time.Duration
+}
+
+type watch struct {
+	prefix  string
+	after   uint64
+	respond func(int, []byte)
+	closed  bool
+}
+
+func newStateService(c *Cluster) *stateService {
+	return &stateService{c: c, keys: map[string]protocol.Item{}, leases: map[uint64]*lease{}, refused: map[string]bool{}}
+}
+
+func (s *stateService) leader() string {
+	it, ok := s.keys[bookkeeping.KeyLeader]
+	if !ok {
+		return ""
+	}
+	var l bookkeeping.Leader
+	_ = json.Unmarshal(it.Value, &l)
+	return l.Node
+}
+
+// setOutage begins or ends an outage. Afterwards every lease has its full time.
+func (s *stateService) setOutage(on bool) {
+	s.outage = on
+	for _, id := range s.leaseIDs() {
+		s.extend(s.leases[id])
+	}
+	if !on {
+		s.notify()
+	}
+}
+
+func (s *stateService) leaseIDs() []uint64 {
+	var ids []uint64
+	for id := range s.leases {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (s *stateService) extend(l *lease) {
+	if l.expiry != nil {
+		l.expiry.run = nil
+	}
+	l.expiry = s.c.after(l.ttl, func() {
+		if !s.outage {
+			s.end(l)
+		}
+	})
+}
+
+func (s *stateService) end(l *lease) {
+	if s.leases[l.id] == nil {
+		return
+	}
+	delete(s.leases, l.id)
+	l.expiry.run = nil
+	var keys []string
+	for k := range l.keys {
+		keys = append(keys, k)
+	}
+	if len(keys) == 0 {
+		return
+	}
+	slices.Sort(keys)
+	s.revision++
+	for _, k := range keys {
+		s.remove(k)
+	}
+	s.notify()
+}
+
+func (s *stateService) remove(key string) {
+	it, ok := s.keys[key]
+	if !ok {
+		return
+	}
+	if l := s.leases[it.Lease]; l != nil {
+		delete(l.keys, key)
+	}
+	delete(s.keys, key)
+	s.history = append(s.history, change{s.revision, protocol.Event{Key: key, Deleted: true, Version: s.revision}})
+}
+
+func (s *stateService) put(op protocol.Op) {
+	if old, ok := s.keys[op.Put]; ok {
+		if l := s.leases[old.Lease]; l != nil {
+			delete(l.keys, op.Put)
+		}
+	}
+	s.keys[op.Put] = protocol.Item{Key: op.Put, Value: op.Value, Version: s.revision, Lease: op.Lease}
+	if l := s.leases[op.Lease]; l != nil {
+		l.keys[op.Put] = true
+	}
+	s.history = append(s.history, change{s.revision, protocol.Event{Key: op.Put, Value: op.Value, Version: s.revision}})
+}
+
+// notify answers the watches that have news.
+func (s *stateService) notify() {
+	if s.outage {
+		return
+	}
+	keep := s.watches[:0]
+	var ready []*watch
+	for _, w := range s.watches {
+		if w.closed {
+			continue
+		}
+		if len(s.news(w)) > 0 {
+			ready = append(ready, w)
+		} else {
+			keep = append(keep, w)
+		}
+	}
+	s.watches = keep
+	for _, w := range ready {
+		w.closed = true
+		w.respond(200, protocol.EncodeEvents(s.news(w), s.revision))
+	}
+}
+
+func (s *stateService) news(w *watch) []protocol.Event {
+	var list []protocol.Event
+	i, _ := slices.BinarySearchFunc(s.history, w.after+1, func(c change, r uint64) int { return int(int64(c.revision) - int64(r)) })
+	for _, c := range s.history[i:] {
+		if strings.HasPrefix(c.event.Key, w.prefix) {
+			list = append(list, c.event)
+		}
+	}
+	return list
+}
+
+func (s *stateService) serve(from, method, target string, body []byte, respond func(int, []byte)) {
+	if s.outage || s.refused[from] {
+		respond(503, nil)
+		return
+	}
+	path, query := protocol.Query(target)
+	switch {
+	case path == protocol.PathMulti:
+		t, err := protocol.ParseTxn(body)
+		if err != nil || len(t.Then) > s.c.settings.TxnOps || len(t.If) > 4*s.c.settings.TxnOps {
+			respond(400, nil)
+			return
+		}
+		if s.late > 0 && len(t.Then) > 0 {
+			s.c.after(s.late, func() { s.commit(t, func(int, []byte) {}) })
+			return
+		}
+		s.commit(t, respond)
+	case path == protocol.PathKeys:
+		prefix, after, limit, _ := protocol.RangeQuery(query)
+		var names []string
+		for k := range s.keys {
+			if strings.HasPrefix(k, prefix) && k > after {
+				names = append(names, k)
+			}
+		}
+		slices.Sort(names)
+		more := len(names) > limit
+		var items []protocol.Item
+		for _, k := range names[:min(limit, len(names))] {
+			items = append(items, s.keys[k])
+		}
+		respond(200, protocol.EncodeRange(items, more, s.revision))
+	case path == protocol.PathChanges:
+		prefix, after, _, wait := protocol.RangeQuery(query)
+		from, _ := strconv.ParseUint(after, 10, 64)
+		w := &watch{prefix: prefix, after: from, respond: respond}
+		if news := s.news(w); len(news) > 0 {
+			respond(200, protocol.EncodeEvents(news, s.revision))
+			return
+		}
+		s.watches = append(s.watches, w)
+		s.c.after(wait, func() {
+			if !w.closed && !s.outage {
+				w.closed = true
+				respond(200, protocol.EncodeEvents(nil, s.revision))
+			}
+		})
+	case path == protocol.PathLeases:
+		ttl, err := protocol.ParseTTL(body)
+		if err != nil {
+			respond(400, nil)
+			return
+		}
+		s.lastID++
+		l := &lease{id: s.lastID, ttl: ttl, keys: map[string]bool{}}
+		s.leases[l.id] = l
+		s.extend(l)
+		respond(200, protocol.EncodeLease(l.id))
+	case strings.HasPrefix(path, protocol.PathLeases+"/"):
+		rest, touch := strings.CutSuffix(strings.TrimPrefix(path, protocol.PathLeases+"/"), "/touch")
+		id, _ := strconv.ParseUint(rest, 10, 64)
+		l := s.leases[id]
+		switch {
+		case l == nil:
+			respond(404, nil)
+		case touch:
+			s.extend(l)
+			respond(200, protocol.EncodeLease(id))
+		case method == "DELETE":
+			s.end(l)
+			respond(200, nil)
+		default:
+			respond(400, nil)
+		}
+	case strings.HasPrefix(path, protocol.PathKeys+"/"):
+		it, ok := s.keys[strings.TrimPrefix(path, protocol.PathKeys+"/")]
+		if !ok {
+			respond(404, protocol.EncodeRevision(s.revision))
+			return
+		}
+		respond(200, protocol.EncodeItem(it))
+	default:
+		respond(400, nil)
+	}
+}
+
+func (s *stateService) commit(t *protocol.Txn, respond func(int, []byte)) {
+	for _, op := range t.Then {
+		if op.Put != "" && op.Lease != 0 && s.leases[op.Lease] == nil {
+			respond(400, nil)
+			return
+		}
+		if len(op.Value) > s.c.settings.ValueBytes {
+			s.c.breaks("limit", "a value of %d bytes for %s", len(op.Value), op.Put)
+			respond(400, nil)
+			return
+		}
+	}
+	var failed []string
+	for _, k := range t.If {
+		if s.keys[k.Key].Version != k.Version {
+			failed = append(failed, k.Key)
+		}
+	}
+	if failed != nil {
+		respond(409, protocol.EncodeFailed(failed, s.revision))
+		return
+	}
+	if len(t.Then) > 0 {
+		s.revision++
+		for _, op := range t.Then {
+			if op.Put != "" {
+				s.put(op)
+			} else {
+				s.remove(op.Delete)
+			}
+		}
+	}
+	respond(200, protocol.EncodeRevision(s.revision))
+	s.notify()
+}
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,186 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// userJob is a job as its user knows it.
+type userJob struct {
+	spec      protocol.Job
+	run       time.Duration // of a task
+	bad       bool          // fails everywhere
+	completed map[int]bool
+	progress  map[int]time.Duration
+	on        map[int]map[*worker]bool // machines each task is on
+	starts    int
+
+	accepted  bool
+	asked     bool // a cancellation was asked for
+	cancelled time.Time
+	told      protocol.JobState // a final state told
+}
+
+// Submit sends a job to a node; done gets the status and the state told.
+func (c *Cluster) Submit(node int, spec protocol.Job, run time.Duration, bad bool, done func(status int, state string)) {
+	j := c.jobs[spec.ID]
+	if j == nil {
+		j = &userJob{spec: spec, run: run, bad: bad, completed: map[int]bool{}, progress: map[int]time.Duration{},
+			on: map[int]map[*worker]bool{}}
+		c.jobs[spec.ID] = j
+	}
+	c.user(node, "POST", protocol.PathJobs, protocol.EncodeJob(&spec), func(status int, body []byte) {
+		if status == 200 || status == 201 {
+			j.accepted = true
+			c.tell(j, body)
+		} else if j.accepted && (status == 400 || status == 422) {
+			c.breaks("forgotten", "%s is submitted again and gets %d", spec.ID, status)
+		}
+		done(status, stateOf(body))
+	})
+}
+
+// Poll asks a node for a job.
+func (c *Cluster) Poll(node int, id string, done func(status int, text string)) {
+	c.user(node, "GET", protocol.PathJobs+"/"+id, nil, func(status int, body []byte) {
+		j := c.jobs[id]
+		if status == 200 {
+			if j == nil || !j.accepted {
+				if j == nil {
+					c.breaks("invented", "%s was never submitted", id)
+				}
+			} else {
+				c.tell(j, body)
+			}
+			_, s, d, r, err := protocol.ParseJobAnswer(body)
+			if err == nil {
+				done(status, fmt.Sprintf("%s done=%d running=%d", s, d, r))
+				return
+			}
+		}
+		if status == 404 && j != nil && j.accepted {
+			c.breaks("forgotten", "%s gets 404", id)
+		}
+		done(status, "")
+	})
+}
+
+// CancelJob asks a node to cancel a job.
+func (c *Cluster) CancelJob(node int, id string, done func(status int, state string)) {
+	j := c.jobs[id]
+	if j != nil {
+		j.asked = true
+	}
+	c.user(node, "POST", protocol.PathJobs+"/"+id+"/cancel", nil, func(status int, body []byte) {
+		if status == 200 && j != nil {
+			c.tell(j, body)
+		}
+		done(status, stateOf(body))
+	})
+}
+
+func stateOf(body []byte) string {
+	if _, s, _, _, err := protocol.ParseJobAnswer(body); err == nil {
+		return s.String()
+	}
+	return ""
+}
+
+// user sends a request of a user's; without a response in 5 s the status is 0.
+func (c *Cluster) user(node int, method, target string, body []byte, done func(status int, body []byte)) {
+	n := c.nodes[node]
+	finished := false
+	finish := func(status int, body []byte) {
+		if !finished {
+			finished = true
+			done(status, body)
+		}
+	}
+	c.after(5*time.Second, func() { finish(0, nil) })
+	c.request("users", n.name, func(respond func(int, []byte)) { n.request(method, target, body, respond) }, finish)
+}
+
+// tell checks what a user is told of a job against what was told before and
+// what is true.
+func (c *Cluster) tell(j *userJob, body []byte) {
+	_, s, _, _, err := protocol.ParseJobAnswer(body)
+	if err != nil {
+		return
+	}
+	if j.told != 0 && s != j.told {
+		c.breaks("went_back", "%s was %s and is %s", j.spec.ID, j.told, s)
+	}
+	if s == protocol.Done && len(j.completed) < j.spec.Tasks {
+		c.breaks("not_done", "%s: %d of %d tasks", j.spec.ID, len(j.completed), j.spec.Tasks)
+	}
+	if s == protocol.Cancelled && !j.asked {
+		c.breaks("went_back", "%s is cancelled without its user's word", j.spec.ID)
+	}
+	if s.Final() {
+		j.told = s
+	}
+	if s == protocol.Cancelled && j.cancelled.IsZero() {
+		j.cancelled = c.now
+		c.after(c.settings.CancelWithin, func() {
+			for task, on := range j.on {
+				for w := range on {
+					c.breaks("ran_cancelled", "%s/%d is still on %s", j.spec.ID, task, w.name)
+				}
+			}
+		})
+	}
+}
+
+// taskStarts checks the rules for a task that starts on a machine.
+func (c *Cluster) taskStarts(w *worker, t *runningTask, j *userJob) {
+	if j.on[t.index] == nil {
+		j.on[t.index] = map[*worker]bool{}
+	}
+	for other := range j.on[t.index] {
+		c.breaks("ran_twice", "%s starts on %s while on %s", t, w.name, other.name)
+	}
+	j.on[t.index][w] = true
+	j.starts++
+	if !j.cancelled.IsZero() && c.now.Sub(j.cancelled) > c.settings.CancelWithin {
+		c.breaks("ran_cancelled", "%s starts on %s", t, w.name)
+	}
+	zones := map[string]int{}
+	for task := range j.on {
+		for x := range j.on[task] {
+			zones[x.host.zone]++
+		}
+	}
+	s := &j.spec
+	switch {
+	case !s.AllowsType(w.host.typ), s.Zone != "" && s.Zone != w.host.zone, w.host.spot && !s.Spot:
+		c.breaks("wrong_place", "%s on %s", t, w.name)
+	case s.OneZone && len(zones) > 1:
+		c.breaks("wrong_place", "%s on %s: the job is in %d zones", t, w.name, len(zones))
+	case s.Spread && zones[w.host.zone] > (s.Tasks+1)/2:
+		c.breaks("wrong_place", "%s on %s: %d of %d tasks in zone %s", t, w.name, zones[w.host.zone], s.Tasks, w.host.zone)
+	}
+	used := 0.0
+	for _, k := range c.jobs {
+		if k.spec.Team == s.Team {
+			for task := range k.on {
+				used += float64(len(k.on[task])) * k.spec.CPUs
+			}
+		}
+	}
+	for _, team := range c.settings.Teams {
+		if team.Name == s.Team && used > team.CPUsMax+protocol.Epsilon {
+			c.breaks("quota", "team %s uses %g CPUs", s.Team, used)
+		}
+	}
+}
+
+func (c *Cluster) taskLeaves(w *worker, t *runningTask) {
+	if on := c.jobs[t.job].on[t.index]; on != nil {
+		delete(on, w)
+		if len(on) == 0 {
+			delete(c.jobs[t.job].on, t.index)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,378 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// worker is the agent of one machine, as PROTOCOL describes it.
+type worker struct {
+	c       *Cluster
+	name    string
+	host    *host
+	spec    *protocol.MachineType
+	dead    bool
+	hung    bool
+	queued  []func() // what arrived while it hung
+	sick    bool
+	session uint64
+	seq     uint64
+	token   uint64
+	notice  time.Time
+	tasks   []*runningTask
+	images  []string
+
+	node      int
+	reporting bool
+	reportSeq uint64 // of the report in flight; older answers are dropped
+	lastSent  time.Time
+	answered  time.Time // when the last answered report was sent
+	next      *event
+	lease     *event
+	changed   bool
+}
+
+type runningTask struct {
+	job     string
+	index   int
+	attempt uint64
+	state   protocol.TaskState
+	why     protocol.ExitReason
+	saved   bool
+	began   time.Time
+	timer   *event
+}
+
+func newWorker(c *Cluster, h *host, spec *protocol.MachineType) *worker {
+	w := &worker{c: c, name: h.name, host: h, spec: spec, session: 1, answered: c.now, node: c.rng.IntN(3)}
+	c.workers[w.name] = w
+	w.armLease()
+	w.reportIn(0)
+	return w
+}
+
+// die ends the worker and its tasks.
+func (w *worker) die() {
+	w.dead = true
+	for _, t := range w.tasks {
+		w.leaveMachine(t)
+	}
+	w.tasks = nil
+	delete(w.c.workers, w.name)
+}
+
+// run does f now, or when the machine goes on.
+func (w *worker) run(f func()) {
+	if w.dead {
+		return
+	}
+	if w.hung {
+		w.queued = append(w.queued, f)
+		return
+	}
+	f()
+}
+
+func (w *worker) hang(on bool) {
+	w.hung = on
+	if on {
+		return
+	}
+	w.checkLease()
+	queued := w.queued
+	w.queued = nil
+	for _, f := range queued {
+		w.run(f)
+	}
+}
+
+func (w *worker) armLease() {
+	if w.lease != nil {
+		w.lease.run = nil
+	}
+	d := w.answered.Add(w.c.settings.WorkerLease).Sub(w.c.now)
+	// A machine may go on from a hang only within its lease, so the lease ends
+	// its tasks while it hangs, too.
+	w.lease = w.c.after(d, w.checkLease)
+}
+
+// checkLease ends the session when its lease has expired.
+func (w *worker) checkLease() {
+	if w.dead || w.c.now.Before(w.answered.Add(w.c.settings.WorkerLease)) {
+		return
+	}
+	for _, t := range w.tasks {
+		w.leaveMachine(t)
+	}
+	w.tasks = nil
+	w.session++
+	w.answered = w.c.now
+	w.armLease()
+	w.change()
+}
+
+func (w *worker) change() {
+	w.changed = true
+	if !w.reporting {
+		w.reportIn(w.lastSent.Add(500 * time.Millisecond).Sub(w.c.now))
+	}
+}
+
+func (w *worker) reportIn(d time.Duration) {
+	if w.next != nil {
+		w.next.run = nil
+	}
+	w.next = w.c.after(d, func() { w.run(w.report) })
+}
+
+func (w *worker) content() *protocol.Report {
+	w.seq++
+	r := &protocol.Report{Machine: w.name, Addr: w.name, Type: w.host.typ, Zone: w.host.zone, Spot: w.host.spot,
+		Session: w.session, Seq: w.seq, Token: w.token}
+	if !w.notice.IsZero() {
+		r.HasNotice, r.Notice = true, max(0, w.notice.Sub(w.c.now))
+	}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Job: t.job, Index: t.index, Attempt: t.attempt, State: t.state, Why: t.why, Saved: t.saved})
+	}
+	return r
+}
+
+func (w *worker) report() {
+	c := w.c
+	if w.reporting {
+		return
+	}
+	w.reporting, w.changed = true, false
+	r := w.content()
+	seq, session, sent := r.Seq, w.session, c.now
+	w.reportSeq, w.lastSent = seq, sent
+	n := c.nodes[w.node%len(c.nodes)]
+	body := protocol.EncodeReport(r)
+	finished := false
+	finish := func(f func()) {
+		if !finished && !w.dead {
+			finished = true
+			w.reporting = false
+			f()
+		}
+	}
+	tryNext := func() { w.node++; w.reportIn(time.Second) }
+	c.after(4*time.Second, func() { w.run(func() { finish(tryNext) }) })
+	if n.core == nil {
+		// The host refuses the connection.
+		c.after(2*time.Millisecond, func() { w.run(func() { finish(tryNext) }) })
+		return
+	}
+	c.request(w.name, n.name, func(respond func(int, []byte)) {
+		n.request("POST", protocol.PathReport, body, respond)
+	}, func(status int, body []byte) {
+		w.run(func() {
+			finish(func() {
+				switch status {
+				case 200:
+					w.accept(session, sent, body)
+					w.again()
+				case 421:
+					leader := protocol.ParseRedirect(body)
+					for i, o := range c.nodes {
+						if o.name == leader && i != w.node%len(c.nodes) {
+							w.node = i
+							w.reportIn(time.Duration(c.rng.IntN(500)) * time.Millisecond)
+							return
+						}
+					}
+					tryNext()
+				default:
+					tryNext()
+				}
+			})
+		})
+	})
+}
+
+// again plans the next report.
+func (w *worker) again() {
+	if w.changed {
+		w.change()
+		return
+	}
+	d := w.c.settings.ReportInterval
+	w.reportIn(d*3/4 + time.Duration(w.c.rng.Int64N(int64(d/2))))
+}
+
+// accept takes the answer to a report.
+func (w *worker) accept(session uint64, sent time.Time, body []byte) {
+	token, _, orders, err := protocol.ParseOrders(body)
+	if err != nil || token == nil || *token < w.token || session != w.session {
+		return
+	}
+	if *token > w.token {
+		w.token = *token
+		w.changed = true
+	}
+	w.answered = sent
+	w.armLease()
+	w.execute(orders)
+}
+
+// serve answers a controller.
+func (w *worker) serve(method, target string, body []byte, respond func(int, []byte)) {
+	w.run(func() {
+		if method == "GET" {
+			respond(200, protocol.EncodeReport(w.content()))
+			return
+		}
+		token, session, orders, err := protocol.ParseOrders(body)
+		if err != nil || token == nil || session == nil {
+			respond(400, nil)
+			return
+		}
+		if *token < w.token || *session != w.session {
+			respond(409, protocol.EncodeReport(w.content()))
+			return
+		}
+		if *token > w.token {
+			w.token = *token
+			w.change()
+		}
+		w.execute(orders)
+		respond(200, protocol.EncodeReport(w.content()))
+	})
+}
+
+func (w *worker) find(o protocol.Order) *runningTask {
+	for _, t := range w.tasks {
+		if t.job == o.Job && t.index == o.Index && t.attempt == o.Attempt {
+			return t
+		}
+	}
+	return nil
+}
+
+func (w *worker) execute(orders []protocol.Order) {
+	for _, o := range orders {
+		t := w.find(o)
+		switch o.Kind {
+		case protocol.Start:
+			if t == nil {
+				w.begin(o)
+			}
+		case protocol.Stop:
+			if t != nil {
+				w.stop(t, o.Grace)
+			}
+		case protocol.Forget:
+			if t != nil && t.state == protocol.Exited {
+				w.tasks = slices.DeleteFunc(w.tasks, func(x *runningTask) bool { return x == t })
+			}
+		}
+	}
+}
+
+func (w *worker) begin(o protocol.Order) {
+	c := w.c
+	t := &runningTask{job: o.Job, index: o.Index, attempt: o.Attempt, state: protocol.Fetching}
+	w.tasks = append(w.tasks, t)
+	j := c.jobs[o.Job]
+	if j == nil || o.Index >= j.spec.Tasks {
+		w.exit(t, protocol.ExitUnknown)
+		return
+	}
+	cpus, mem := j.spec.CPUs, j.spec.MemGB
+	for _, x := range w.tasks {
+		if x == t || x.state == protocol.Exited {
+			continue
+		}
+		if x.job == o.Job && x.index == o.Index {
+			w.exit(t, protocol.ExitBusy)
+			return
+		}
+		cpus += c.jobs[x.job].spec.CPUs
+		mem += c.jobs[x.job].spec.MemGB
+	}
+	if cpus > w.spec.CPUs+protocol.Epsilon || mem > w.spec.MemGB+protocol.Epsilon {
+		w.exit(t, protocol.ExitNoRoom)
+		return
+	}
+	fetch := time.Duration(j.spec.ImageGB / w.spec.FetchRate * float64(time.Second))
+	if slices.Contains(w.images, j.spec.Image) {
+		fetch = 0
+	}
+	t.timer = c.after(fetch, func() { w.run(func() { w.startTask(t, j) }) })
+	w.change()
+}
+
+func (w *worker) startTask(t *runningTask, j *userJob) {
+	if t.state != protocol.Fetching {
+		return
+	}
+	if !slices.Contains(w.images, j.spec.Image) {
+		w.images = append(w.images, j.spec.Image)
+	}
+	w.change()
+	if w.sick || j.bad {
+		w.exit(t, protocol.ExitError)
+		return
+	}
+	if j.completed[t.index] {
+		w.exit(t, protocol.ExitDone)
+		return
+	}
+	t.state, t.began = protocol.Running, w.c.now
+	w.c.taskStarts(w, t, j)
+	if j.spec.Kind == protocol.Batch {
+		t.timer = w.c.after(max(0, j.run-j.progress[t.index]), func() {
+			w.run(func() {
+				if t.state == protocol.Running {
+					j.completed[t.index] = true
+					w.exit(t, protocol.ExitDone)
+				}
+			})
+		})
+	}
+}
+
+func (w *worker) stop(t *runningTask, grace time.Duration) {
+	j := w.c.jobs[t.job]
+	switch {
+	case t.state == protocol.Exited:
+	case t.state == protocol.Running && j.spec.Checkpoint > 0 && grace >= j.spec.Save:
+		t.state = protocol.Saving
+		t.timer.run = nil
+		t.timer = w.c.after(j.spec.Save, func() {
+			w.run(func() {
+				if t.state == protocol.Saving {
+					j.progress[t.index] += w.c.now.Sub(t.began) - j.spec.Save
+					t.saved = true
+					w.exit(t, protocol.ExitStopped)
+				}
+			})
+		})
+		w.change()
+	case t.state == protocol.Saving && grace > 0:
+	default:
+		w.exit(t, protocol.ExitStopped)
+	}
+}
+
+func (w *worker) exit(t *runningTask, why protocol.ExitReason) {
+	w.leaveMachine(t)
+	t.state, t.why = protocol.Exited, why
+	w.change()
+}
+
+// leaveMachine ends a task's presence.
+func (w *worker) leaveMachine(t *runningTask) {
+	if t.timer != nil {
+		t.timer.run = nil
+	}
+	if t.state == protocol.Running || t.state == protocol.Saving {
+		w.c.taskLeaves(w, t)
+	}
+}
+
+func (t *runningTask) String() string { return fmt.Sprintf("%s/%d#%d", t.job, t.index, t.attempt) }
