--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -192,7 +192,7 @@
 		return "a task fits no allowed machine type"
 	}
 	at := 1.0
-	if j.Kind == protocol.Service {
+	if j.Kind != protocol.Batch {
 		at = float64(j.Tasks)
 	}
 	if at*j.CPUs > team.CPUsMax+protocol.Epsilon || at*j.GPUs > team.GPUsMax+protocol.Epsilon {
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -470,7 +470,7 @@
 // taskDone notes that a task has completed, whichever attempt did it.
 func (l *lead) taskDone(j *job, i int) {
 	t := j.task(i)
-	if t.done || j.Kind != protocol.Batch {
+	if t.done || j.Kind == protocol.Service {
 		return
 	}
 	t.done = true
@@ -492,7 +492,7 @@
 	if l.phase == loading {
 		return
 	}
-	if j.outcome == 0 && !j.finishing && j.Kind == protocol.Batch && j.doneCount == j.Tasks {
+	if j.outcome == 0 && !j.finishing && j.Kind != protocol.Service && j.doneCount == j.Tasks {
 		j.finishing = true
 		l.journal.finish(j)
 	}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -214,6 +214,9 @@
 	if l.n.now.Before(j.notBefore) {
 		return j.toStart()
 	}
+	if j.Kind == protocol.Gang {
+		return l.placeGang(j)
+	}
 	for j.toStart() > 0 && l.journal.unsaved < maxUnrecorded {
 		if !l.underLimit(j) {
 			return 0 // more machines wouldn't help
@@ -235,6 +238,41 @@
 	return left
 }
 
+// placeGang places all tasks of a gang or none: a part of it would only hold
+// room until its workers give up waiting for the rest.
+func (l *lead) placeGang(j *job) int {
+	need := j.toStart()
+	if j.live > 0 {
+		return 0 // what is left of the last try ends first
+	}
+	var chosen []*machine
+	u := l.teams[j.Team]
+	for len(chosen) < need && l.underLimit(j) {
+		m := l.best(j)
+		if m == nil {
+			break
+		}
+		chosen = append(chosen, m)
+		m.cpus, m.gpus, m.mem = m.cpus+j.CPUs, m.gpus+j.GPUs, m.mem+j.MemGB
+		u.cpus, u.gpus = u.cpus+j.CPUs, u.gpus+j.GPUs
+		j.zones[m.zone]++
+	}
+	for _, m := range chosen {
+		m.cpus, m.gpus, m.mem = m.cpus-j.CPUs, m.gpus-j.GPUs, m.mem-j.MemGB
+		u.cpus, u.gpus = u.cpus-j.CPUs, u.gpus-j.GPUs
+		if j.zones[m.zone]--; j.zones[m.zone] == 0 {
+			delete(j.zones, m.zone)
+		}
+	}
+	if len(chosen) < need {
+		return need
+	}
+	for _, m := range chosen {
+		l.assign(j, j.peekTask(), m)
+	}
+	return 0
+}
+
 func (l *lead) assign(j *job, i int, m *machine) {
 	j.takeTask()
 	t := j.task(i)
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -77,7 +77,7 @@
 	if a.job.Priority < j.Priority {
 		return true
 	}
-	return j.within && a.job.Team != j.Team && !a.job.within && a.job.Kind == protocol.Batch && l.beyond(a.job.Team)
+	return j.within && a.job.Team != j.Team && !a.job.within && a.job.Kind != protocol.Service && l.beyond(a.job.Team)
 }
 
 // beyond reports whether a team runs more than its guarantee, even once what
--- a/internal/protocol/farside.go
+++ b/internal/protocol/farside.go
@@ -13,12 +13,13 @@
 // the state service and users send. Stand-ins use it.
 
 func nameOf[T comparable](names map[string]T, v T) string {
+	best := ""
 	for name, x := range names {
-		if x == v {
-			return name
+		if x == v && (best == "" || name < best) {
+			best = name
 		}
 	}
-	return ""
+	return best
 }
 
 // EncodeJob makes the body of a submission.
--- a/internal/protocol/model.go
+++ b/internal/protocol/model.go
@@ -12,6 +12,7 @@
 const (
 	Batch   Kind = iota + 1 // independent tasks, each runs to completion
 	Service                 // replicas run until the job is cancelled
+	Gang                    // tasks that run to completion, all of them at once
 )
 
 // Priority orders jobs; a larger one goes first.
@@ -109,6 +110,7 @@
 	ExitNoRoom
 	ExitBusy
 	ExitUnknown
+	ExitGang // the rest of its gang ended or didn't come
 )
 
 // TaskReport is one task in a worker's report.
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -87,7 +87,7 @@
 	return RouteJob, rest
 }
 
-var kinds = map[string]Kind{"batch": Batch, "daemon": Service}
+var kinds = map[string]Kind{"batch": Batch, "daemon": Service, "gang": Gang}
 
 var priorities = map[string]Priority{"critical": Critical, "urgent": Urgent, "standard": Standard, "low": Low}
 
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -35,10 +35,13 @@
 	Saved   bool   `json:"kept"`
 }
 
-var taskStates = map[string]TaskState{"fetching": Fetching, "running": Running, "saving": Saving, "exited": Exited}
+// A gang's task that has its image waits for the others ("gathering"); until
+// it runs it is taken for one that still fetches.
+var taskStates = map[string]TaskState{"fetching": Fetching, "gathering": Fetching, "running": Running, "saving": Saving, "exited": Exited}
 
 var exitReasons = map[string]ExitReason{"done": ExitDone, "halted": ExitStopped, "error": ExitError,
-	"no_room": ExitNoRoom, "busy": ExitBusy, "unknown": ExitUnknown}
+	"no_room": ExitNoRoom, "busy": ExitBusy, "unknown": ExitUnknown,
+	"peers": ExitGang, "alone": ExitGang}
 
 var errReport = errors.New("not a worker's report")
 
