--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -64,8 +64,9 @@
 	waiting   []int          // tasks to be started again
 	next      int            // first task that was never started
 	zones     map[string]int // live attempts and their zones
-	within    bool           // the team's guarantee, as of the last placement
-	errors    int            // since the last success
+	judged    bool
+	within    bool // its team's guarantee when it came
+	errors    int  // since the last success
 	failedOn  map[string]struct{}
 	notBefore time.Time
 	pressing  bool // its patience has a timer
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -67,11 +67,13 @@
 }
 
 // markGuarantees finds the jobs within their team's guarantee: those that fit
-// into it together with the team's earlier unfinished jobs.
+// into it together with the team's earlier unfinished jobs when they come. A
+// job that came beyond it stays so: to let each of a backlog in as the ones
+// before it end would stop other teams' work again and again, although the
+// guarantee holds only while all of the team's unfinished jobs fit.
 func (l *lead) markGuarantees() {
 	sums := map[string]*usage{}
 	for _, j := range l.order {
-		j.within = false
 		if j.outcome != 0 {
 			continue
 		}
@@ -87,7 +89,10 @@
 		left := float64(j.Tasks - j.doneCount)
 		s.cpus += left * j.CPUs
 		s.gpus += left * j.GPUs
-		j.within = s.cpus <= team.CPUs+protocol.Epsilon && s.gpus <= team.GPUs+protocol.Epsilon
+		if !j.judged {
+			j.judged = true
+			j.within = s.cpus <= team.CPUs+protocol.Epsilon && s.gpus <= team.GPUs+protocol.Epsilon
+		}
 	}
 }
 
