--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -18,6 +18,7 @@
 	releaseRetry   = time.Second
 	bootPatience   = 4 // times the usual boot time
 	bootPatienceAt = 20 * time.Second
+	emptyPause     = 4 * time.Second
 )
 
 // demand is work without a machine.
@@ -58,7 +59,7 @@
 	listing   bool
 	listedAt  time.Time
 	typesAt   time.Time
-	cloudBad  time.Time
+	fixedNeed float64 // CPUs of the largest job seen that may not use spot machines
 }
 
 func (f *fleet) init(l *lead) {
@@ -366,16 +367,19 @@
 // ones that never came up, and ones given up.
 func (l *lead) shrink() {
 	n := l.n
-	used, free := 0.0, 0.0
+	used, free, fixedRoom := 0.0, 0.0, 0.0
 	for _, m := range l.fleetList {
-		if m.spec != nil && m.up && !m.draining {
+		if m.spec != nil && m.up && !m.draining && !m.releasing {
 			used += m.cpus
-			free += m.spec.CPUs - m.cpus
+			if !m.emptying {
+				free += m.spec.CPUs - m.cpus
+				fixedRoom += l.fixedRoom(m)
+			}
 		}
 	}
 	want := l.headroom(used)
-	var idle []*machine
-	for _, m := range l.fleetList {
+	var candidates []*machine
+	for _, m := range append([]*machine(nil), l.fleetList...) {
 		if m.releasing {
 			continue
 		}
@@ -389,19 +393,55 @@
 			l.release(m, "unknown type")
 		case !m.noticeAt.IsZero() && n.now.After(m.noticeAt.Add(2*time.Second)) && len(m.attempts) == 0:
 			l.release(m, "taken")
-		case m.up && m.recorded && len(m.attempts) == 0 && m.spec != nil && n.now.Sub(m.emptySince) > n.op.Idle() && age > minimumCharge:
-			idle = append(idle, m)
+		case m.emptying && len(m.attempts) == 0 && age > minimumCharge && n.now.Sub(m.emptySince) > emptyPause:
+			l.release(m, "not needed")
+		case m.up && m.recorded && m.spec != nil && !m.draining && !m.emptying && m.noticeAt.IsZero() && !m.holdsService():
+			candidates = append(candidates, m)
 		}
 	}
-	// The dearest first.
-	sort.SliceStable(idle, func(i, k int) bool { return idle[i].pricePerCPU() > idle[k].pricePerCPU() })
-	for _, m := range idle {
-		if free-m.spec.CPUs < want {
+	// The dearest first, then the emptiest. Tasks spread over all machines, so
+	// that waiting for one to be empty by chance would keep them all.
+	sort.SliceStable(candidates, func(i, k int) bool {
+		a, b := candidates[i], candidates[k]
+		if pa, pb := a.pricePerCPU(), b.pricePerCPU(); pa != pb {
+			return pa > pb
+		}
+		return a.cpus < b.cpus
+	})
+	for _, m := range candidates {
+		room := l.fixedRoom(m)
+		if free-(m.spec.CPUs-m.cpus) < want+m.cpus || room > 0 && fixedRoom-room < l.fleet.fixedNeed {
 			continue
 		}
-		free -= m.spec.CPUs
-		l.release(m, "idle")
+		free -= m.spec.CPUs - m.cpus
+		fixedRoom -= room
+		m.emptying = true
+		n.log.Debug("emptying machine", "machine", m.name, "cpus", m.cpus)
+	}
+}
+
+// fixedRoom is the room on an ordinary machine that work which may not use
+// spot machines can have, other work giving way.
+func (l *lead) fixedRoom(m *machine) float64 {
+	if m.spot {
+		return 0
+	}
+	room := m.spec.CPUs
+	for _, a := range m.attempts {
+		if !a.job.Spot {
+			room -= a.job.CPUs
+		}
+	}
+	return max(room, 0)
+}
+
+func (m *machine) holdsService() bool {
+	for _, a := range m.attempts {
+		if a.job.Kind == protocol.Service {
+			return true
+		}
 	}
+	return false
 }
 
 func (m *machine) pricePerCPU() float64 {
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -308,6 +308,9 @@
 		failedOn: map[string]struct{}{}}
 	j.chunks = make([]*chunk, (j.Tasks+j.size-1)/j.size)
 	l.jobs[j.ID] = j
+	if !j.Spot && j.Kind == protocol.Service {
+		l.fleet.fixedNeed = max(l.fleet.fixedNeed, j.CPUs*float64(j.Tasks))
+	}
 	at := len(l.order)
 	for at > 0 && l.order[at-1].submitted.After(j.submitted) {
 		at--
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -47,6 +47,7 @@
 
 	failures  map[string]int // failed attempts by job since the last success
 	sick      bool
+	emptying  bool // takes new tasks only when no other has room
 	draining  bool // to be returned: takes nothing more
 	releasing bool // its release was asked for
 	releaseAt time.Time
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -288,11 +288,23 @@
 }
 
 // best is the machine with the highest score; ties go to more free room.
+// Machines that are being emptied come only after all others.
 func (l *lead) best(j *job) *machine {
+	if m := l.bestOf(j, false); m != nil {
+		return m
+	}
+	m := l.bestOf(j, true)
+	if m != nil {
+		m.emptying = false // it is needed after all
+	}
+	return m
+}
+
+func (l *lead) bestOf(j *job, emptying bool) *machine {
 	var best *machine
 	var bestScore, bestRoom float64
 	for _, m := range l.fleetList {
-		if !l.open(m) || !m.hasRoom(j.Job) || !m.allowed(j.Job) || !j.zoneAllows(m.zone) {
+		if m.emptying != emptying || !l.open(m) || !m.hasRoom(j.Job) || !m.allowed(j.Job) || !j.zoneAllows(m.zone) {
 			continue
 		}
 		if m.failures[j.ID] > 0 && len(j.failedOn) < 3 {
