--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -319,8 +319,23 @@
 	}
 }
 
-// headroom is the free room wanted beyond what is used.
-func (l *lead) headroom(used float64) float64 { return l.n.op.HeadroomShare * used }
+// headroom is the free room wanted beyond what is used. It is kept only where
+// users want work started sooner than a machine boots.
+func (l *lead) headroom(used float64) float64 {
+	boot := time.Duration(0)
+	for _, t := range l.n.types {
+		if boot == 0 || t.Boot < boot {
+			boot = t.Boot
+		}
+	}
+	for i := range l.n.cfg.Objectives {
+		o := &l.n.cfg.Objectives[i]
+		if (o.Kind == "wait" || o.Kind == "guarantee") && o.Within < boot {
+			return l.n.op.HeadroomShare * used
+		}
+	}
+	return 0
+}
 
 func (l *lead) rent(o offer, count int) {
 	n, f := l.n, &l.fleet
