--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -108,12 +108,54 @@
 	if l.phase != active {
 		return
 	}
+	l.choosePlace()
+	if !l.alive() {
+		return
+	}
 	l.place()
 	l.grow()
 	l.shrink()
 	l.sendReleases()
 }
 
+// choosePlace keeps the leader in the zone that holds most machines, so that
+// a cut between zones parts it from as few of them as can be. It hands over
+// only to a zone with a node that lately said it can lead.
+func (l *lead) choosePlace() {
+	n := l.n
+	if !n.otherZone() || n.storeDown() {
+		return
+	}
+	count := map[string]int{}
+	up := 0
+	for _, m := range l.fleetList {
+		if m.up && n.now.Sub(m.heard) < l.suspectAfter() {
+			count[m.zone]++
+			up++
+		}
+	}
+	for zone, k := range count {
+		if k*3 <= up*2 || up < 3 {
+			continue
+		}
+		if n.election.prefer != zone && l.preferred != zone {
+			l.preferred = zone
+			l.journal.extra = append(l.journal.extra, protocol.Op{Put: bookkeeping.KeyPrefer,
+				Value: bookkeeping.Encode(bookkeeping.Prefer{Zone: zone})})
+		}
+		if zone == n.cfg.Zone || n.election.prefer != zone || n.now.Sub(l.elected) < 10*time.Second {
+			continue
+		}
+		for i := range n.cfg.Peers {
+			p := &n.cfg.Peers[i]
+			if v := n.peers[p.Name]; p.Zone == zone && v != nil && v.storeOK && n.now.Sub(v.at) < 2500*time.Millisecond {
+				n.resign("most machines are in zone "+zone, 3*time.Second)
+				return
+			}
+		}
+	}
+}
+
 func (l *lead) saveTypes() {
 	var list []protocol.MachineType
 	for _, t := range l.n.types {
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -40,6 +40,7 @@
 	journal   journal
 	fleet     fleet
 
+	preferred  string // zone last recorded as the better one for leaders
 	placeAsked bool
 	placeAt    *timer
 	stepDirect []*machine // machines with orders to send at the end of the step
@@ -222,14 +223,34 @@
 		l.jobProgressed(j)
 	}
 	n.log.Info("records loaded", "term", l.term, "jobs", len(l.order), "machines", len(l.machines), "attempts", live)
-	n.after(l.settled.Sub(n.now), func() {
-		if l.alive() && l.phase == settling {
-			l.phase = active
-			n.log.Info("placing", "term", l.term)
-			l.fleetStep()
-			l.askPlace()
+	n.after(l.settled.Sub(n.now), l.activate)
+}
+
+// activate ends the wait for reports.
+func (l *lead) activate() {
+	if !l.alive() || l.phase != settling {
+		return
+	}
+	l.phase = active
+	l.settled = l.n.now
+	l.n.log.Info("placing", "term", l.term, "after", l.n.now.Sub(l.elected))
+	l.fleetStep()
+	l.askPlace()
+}
+
+// allHeard reports whether every machine that should have told its tasks and
+// images has: there is nothing more to wait for then.
+func (l *lead) allHeard() bool {
+	if len(l.fleetList) == 0 {
+		return false
+	}
+	for _, m := range l.fleetList {
+		booted := m.spec == nil || l.n.now.Sub(m.rented) > 2*m.spec.Boot
+		if !m.reconciled && (len(m.attempts) > 0 || booted) {
+			return false
 		}
-	})
+	}
+	return true
 }
 
 func (l *lead) watchJobs(after uint64) {
@@ -465,8 +486,10 @@
 	if s == protocol.Running {
 		a.job.running++
 		a.job.started++
-		l.n.log.Debug("task runs", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name,
-			"placed", l.n.now.Sub(a.placed), "age", l.n.now.Round(0).Sub(a.job.submitted))
+		if !a.inherited {
+			l.n.log.Debug("task runs", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name,
+				"placed", l.n.now.Sub(a.placed), "age", l.n.now.Round(0).Sub(a.job.submitted))
+		}
 	}
 	a.state, a.since = s, l.n.now
 }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -24,6 +24,7 @@
 	session    uint64
 	seq        uint64
 	token      uint64    // highest it has seen
+	reconciled bool      // its tasks were compared with the records
 	heardToken bool      // it has seen one of this term's
 	heard      time.Time // last sign of life
 	answered   time.Time // last time a report of it was answered
@@ -187,6 +188,16 @@
 		m.seq = r.Seq
 		return nil
 	}
+	if !m.reconciled {
+		m.reconciled = true
+		if l.phase == settling {
+			l.n.after(10*time.Millisecond, func() {
+				if l.alive() && l.phase == settling && l.allHeard() {
+					l.activate()
+				}
+			})
+		}
+	}
 	var orders []protocol.Order
 	present := make(map[*attempt]struct{}, len(r.Tasks))
 	var clears []protocol.Order
@@ -547,7 +558,7 @@
 		return
 	}
 	var silent []*machine
-	up := 0
+	up, suspects := 0, 0
 	for _, m := range l.fleetList {
 		since := m.heard
 		if !m.up {
@@ -559,6 +570,7 @@
 		up++
 		d := n.now.Sub(since)
 		if d > l.suspectAfter() {
+			suspects++
 			l.probe(m)
 		}
 		if d > l.releaseAfter() {
@@ -568,8 +580,9 @@
 	if len(silent) == 0 {
 		return
 	}
-	// Many at once speak for a cut between them and this node.
-	many := len(silent) > 2 && len(silent)*3 > up
+	// Many at once speak for a cut between them and this node. Reports come at
+	// different times, so those that are only late by now count, too.
+	many := suspects > 2 && suspects*3 > up
 	for _, m := range silent {
 		if n.now.After(l.silentProof(m)) {
 			for _, a := range m.sorted() {
@@ -580,7 +593,7 @@
 			l.release(m, "silent")
 		}
 	}
-	if many && len(silent)*2 > up && n.now.Sub(l.settled) > 2*time.Second && !n.storeDown() && len(n.cfg.Peers) > 0 && n.otherZone() {
+	if many && suspects*2 > up && n.now.Sub(l.settled) > 2*time.Second && !n.storeDown() && len(n.cfg.Peers) > 0 && n.otherZone() {
 		n.resign("most machines are out of reach", 12*time.Second)
 	}
 }
