--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -254,9 +254,17 @@
 		return b
 	}
 	total := 0
+	// What a team may still start under its limit, over all its jobs: machines
+	// beyond that would stand idle.
+	rooms := map[string]*usage{}
+	for name, t := range n.teams {
+		u := l.teams[name]
+		rooms[name] = &usage{t.CPUsMax - u.cpus, t.GPUsMax - u.gpus}
+	}
 	for _, d := range f.unmet {
 		j := d.job
 		left := min(d.left, j.toStart())
+		room := rooms[j.Team]
 		zones := map[string]int{}
 		for z, k := range j.zones {
 			zones[z] = k
@@ -272,6 +280,11 @@
 			return !j.Spread || zones[zone]+1 <= (j.Tasks+1)/2
 		}
 		for ; left > 0 && total < 200; left-- {
+			if room.cpus < j.CPUs-protocol.Epsilon || room.gpus < j.GPUs-protocol.Epsilon {
+				break
+			}
+			room.cpus -= j.CPUs
+			room.gpus -= j.GPUs
 			placed := false
 			for _, b := range bins {
 				if allows(b.offer.zone) && b.take(j) {
