--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -224,6 +224,7 @@
 	}
 	for j.toStart() > 0 && l.journal.unsaved < maxUnrecorded {
 		if !l.underLimit(j) {
+			l.makeLimitRoom(j)
 			return 0 // more machines wouldn't help
 		}
 		i := j.peekTask()
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -186,3 +186,44 @@
 	}
 	return best, bestVictims
 }
+
+// makeLimitRoom stops work of the job's own team where the team's limit is
+// what keeps a critical job waiting.
+func (l *lead) makeLimitRoom(j *job) {
+	if j.Priority != protocol.Critical {
+		return
+	}
+	need := float64(j.toStart()) * j.CPUs
+	need -= l.teams[j.Team].headUnder(l.n.teams[j.Team].CPUsMax)
+	need -= l.stopped[j.Team].cpus
+	if need <= protocol.Epsilon {
+		return
+	}
+	var candidates []*attempt
+	for _, m := range l.fleetList {
+		for _, a := range m.sorted() {
+			if a.job.Team == j.Team && a.job.Priority < j.Priority && !a.stop &&
+				(j.Priority == protocol.Critical || a.job.Checkpoint > 0) {
+				candidates = append(candidates, a)
+			}
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *attempt) int {
+		if d := int(a.job.Priority) - int(b.job.Priority); d != 0 {
+			return d
+		}
+		return b.job.submitted.Compare(a.job.submitted)
+	})
+	for _, a := range candidates {
+		if need <= protocol.Epsilon {
+			return
+		}
+		need -= a.job.CPUs
+		l.n.log.Debug("preempted under the team's limit", "job", a.job.ID, "task", a.task, "for", j.ID)
+		l.stopAttempt(a, l.saveGrace(a))
+		l.noteStopped(a)
+	}
+}
+
+// headUnder is what is left of a limit.
+func (u *usage) headUnder(cpus float64) float64 { return max(0, cpus-u.cpus) }
