--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,95 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+host_name = "n0"
+domain = "a"
+public_addr = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+unknown = 1
+[[seeds]]
+host_name = "n1"
+domain = "b"
+endpoint = "10.0.0.2:8081"
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+time_bound_ms = 5.0
+[[facts.teams]]
+name = "red"
+cpus = 1.0
+cpus_max = 2.0
+[[facts.objectives]]
+kind = "wait"
+class = "c"
+within_s = 3.0
+share = 0.8
+[facts.workers]
+report_s = 3.0
+lease_s = 28.0
+cancel_s = 48.0
+[facts.state]
+rps = 120.0
+write_rps = 40.0
+value_kb = 8.0
+txn_ops = 16
+[facts.cloud]
+rps = 2.0
+list_lag_s = 12.0
+[facts.quota]
+cpu = 0.096
+ram_mb = 98.0
+sockets = 900
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Name != "n0" || s.WorkerLease != 28*time.Second || s.ValueBytes != 8192 || s.Peers[0].Zone != "b" ||
+		s.Objectives[0].Within != 3*time.Second || s.MemoryBytes != 98<<20 {
+		t.Errorf("got %+v", s)
+	}
+	for _, c := range []struct{ from, to, want string }{
+		{`public_addr = "10.0.0.1:8080"`, ``, "public_addr is missing"},
+		{`public_addr = "10.0.0.1:8080"`, `public_addr = "here"`, "not an address"},
+		{`host_name = "n1"`, `host_name = "n0"`, "named twice"},
+		{`lease_s = 28.0`, `lease_s = 0.0`, "lease_s must be above zero"},
+		{`lease_s = 28.0`, `lease_s = nan`, "lease_s must be above zero"},
+		{`cpus_max = 2.0`, `cpus_max = 0.5`, "maximum below its guarantee"},
+		{`txn_ops = 16`, ``, "txn_ops must be above zero"},
+		{`domain = "a"`, ``, "domain is missing"},
+		{`[facts.cloud]`, `[[facts.cloud]]`, "settings"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q for %q: error %v, want %q", c.to, c.from, err, c.want)
+		}
+	}
+}
+
+func TestOperator(t *testing.T) {
+	o := DefaultOperator()
+	if err := ParseOperator([]byte(`{"imageWeight": 2.5, "spot": false}`), &o); err != nil {
+		t.Fatal(err)
+	}
+	if o.ImageWeight != 2.5 || o.Spot || o.RoomWeight != DefaultOperator().RoomWeight {
+		t.Errorf("got %+v", o)
+	}
+	for _, bad := range []string{`{"imageWeight": "1"}`, `{"nope": 1}`, `[]`, `{"idleSeconds": -1}`, `{`} {
+		if err := ParseOperator([]byte(bad), &o); err == nil {
+			t.Errorf("%s is taken", bad)
+		}
+	}
+	example, err := LoadOperator("../../deploy/operator.example.json")
+	if err != nil || example != DefaultOperator() {
+		t.Errorf("the example differs from the defaults: %+v, %v", example, err)
+	}
+}
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -207,6 +207,7 @@
 		switch {
 		case o.Answered && o.Status == 200:
 			l.validUntil = sent.Add(ttl - drift(ttl))
+			l.muted = false
 		case o.Answered && o.Status == 404:
 			n.stepDown("the leader lease ended")
 			return
@@ -215,8 +216,12 @@
 		}
 		n.after(next, l.renew)
 	})
-	if n.now.After(l.validUntil.Add(l.grace())) {
-		n.stepDown("the state service has been out of reach for too long")
+	if !l.entitled() && !l.muted {
+		// It answers no worker any more, but keeps what it knows: in an outage
+		// the lease stands still, and once it is renewed after all, nobody
+		// else can have led meanwhile.
+		l.muted = true
+		n.log.Warn("answering no worker until the leader lease is renewed", "term", l.term)
 	}
 }
 
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,115 @@
+package protocol
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const submission = `{"nameId":"run-000412","berth":"train","crew":"vision","rig":"batch","precedence":"urgent","oars":16,
+ "cpus":8.0,"gpus":1.0,"memGb":64.0,"hull":"img-07","pullGb":6.2,"hullForms":["g8"],"harbour":null,"oneZone":true,
+ "apart":false,"driftwood":true,"passageS":240.0,"mooringS":30.0,"stowS":4.0,"tideS":900.0,"extra":[1]}`
+
+func TestParseJob(t *testing.T) {
+	j, err := ParseJob([]byte(submission))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &Job{ID: "run-000412", Class: "train", Team: "vision", Kind: Batch, Priority: Urgent, Tasks: 16, CPUs: 8,
+		GPUs: 1, MemGB: 64, Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, OneZone: true, Spot: true,
+		Estimate: 4 * time.Minute, Checkpoint: 30 * time.Second, Save: 4 * time.Second, Deadline: 15 * time.Minute, HasDeadline: true}
+	if !reflect.DeepEqual(j, want) {
+		t.Errorf("got %+v", j)
+	}
+	if again, err := ParseJob(EncodeJob(j)); err != nil || !reflect.DeepEqual(again, j) {
+		t.Errorf("written and read again: %+v, %v", again, err)
+	}
+	for _, c := range []struct{ from, to string }{
+		{`"nameId":"run-000412"`, `"nameId":"job-000412"`},
+		{`"nameId":"run-000412"`, `"nameId":"run-12"`},
+		{`"nameId":"run-000412"`, `"nameId":7`},
+		{`"rig":"batch"`, `"rig":"cron"`},
+		{`"precedence":"urgent"`, `"precedence":null`},
+		{`"oars":16`, `"oars":0`},
+		{`"oars":16`, `"oars":100001`},
+		{`"oars":16`, `"oars":1.5`},
+		{`"cpus":8.0`, `"cpus":-1`},
+		{`"cpus":8.0`, `"cpus":1e999`},
+		{`"cpus":8.0,`, ``},
+		{`"oneZone":true`, `"oneZone":"yes"`},
+		{`"hullForms":["g8"]`, `"hullForms":[]`},
+		{`"hullForms":["g8"]`, `"hullForms":"g8"`},
+		{`"tideS":900.0`, `"tideS":-1`},
+	} {
+		if _, err := ParseJob([]byte(strings.Replace(submission, c.from, c.to, 1))); err == nil {
+			t.Errorf("%s is taken", c.to)
+		}
+	}
+	if j, err := ParseJob([]byte(strings.Replace(submission, `"tideS":900.0,`, ``, 1))); err != nil || j.HasDeadline {
+		t.Errorf("without a deadline: %+v, %v", j, err)
+	}
+}
+
+func TestParseTarget(t *testing.T) {
+	for _, c := range []struct {
+		target string
+		route  Route
+		id     string
+	}{
+		{"/v2/runs", RouteJobs, ""}, {"/v2/runs/run-000001", RouteJob, "run-000001"},
+		{"/v2/runs/run-000001/cancel", RouteCancel, "run-000001"}, {"/v2/runs/", RouteNone, ""},
+		{"/v2/runs/a/b", RouteNone, ""}, {"/up?x=1", RouteHealth, ""}, {"/v1/report", RouteReport, ""}, {"/", RouteNone, ""},
+	} {
+		if route, id := ParseTarget(c.target); route != c.route || id != c.id {
+			t.Errorf("%s: route %d, id %q", c.target, route, id)
+		}
+	}
+}
+
+func TestReportRoundTrip(t *testing.T) {
+	r := &Report{Machine: "vm-000231", Addr: "10.1.0.232:9000", Type: "g8", Zone: "a", Spot: true, Session: 1, Seq: 88, Token: 41,
+		HasNotice: true, Notice: 12 * time.Second, Tasks: []TaskReport{
+			{Job: "run-000412", Index: 3, Attempt: 2, State: Running},
+			{Job: "run-000398", Index: 0, Attempt: 1, State: Exited, Why: ExitStopped, Saved: true}}}
+	got, err := ParseReport(EncodeReport(r))
+	if err != nil || !reflect.DeepEqual(got, r) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	for _, bad := range []string{`{}`, `[]`, `{"deck":"m","watch":0,"logSeq":1}`,
+		`{"deck":"m","watch":1,"logSeq":1,"oars":[{"oar":"run-000001","launch":1,"bearing":"running"}]}`,
+		`{"deck":"m","watch":1,"logSeq":1,"oars":[{"oar":"run-000001/0","launch":1,"bearing":"flying"}]}`} {
+		if _, err := ParseReport([]byte(bad)); err == nil {
+			t.Errorf("%s is taken", bad)
+		}
+	}
+}
+
+func TestOrdersRoundTrip(t *testing.T) {
+	orders := []Order{{Kind: Start, Job: "run-000001", Index: 4, Attempt: 2},
+		{Kind: Stop, Job: "run-000002", Index: 1, Attempt: 1, Grace: 10 * time.Second},
+		{Kind: Forget, Job: "run-000003", Index: 0, Attempt: 9}}
+	token, session, got, err := ParseOrders(DirectOrders(7<<16|3, 2, orders))
+	if err != nil || *token != 7<<16|3 || *session != 2 || !reflect.DeepEqual(got, orders) {
+		t.Errorf("got %v, %v", got, err)
+	}
+	if token, session, _, err = ParseOrders(ReportAnswer(5, nil)); err != nil || *token != 5 || session != nil {
+		t.Errorf("an answer without orders: %v", err)
+	}
+}
+
+// FuzzParseReport checks that whatever is taken as a report says the same
+// when written and read again.
+func FuzzParseReport(f *testing.F) {
+	f.Add([]byte(`{"deck":"vm-1","endpoint":"x","watch":1,"logSeq":8,"helm":4,"recallS":3.5,"oars":[{"oar":"run-000412/3","launch":2,"bearing":"exited","wreckCause":"done"}]}`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r, err := ParseReport(in)
+		if err != nil {
+			return
+		}
+		again, err := ParseReport(EncodeReport(r))
+		if err != nil || again.Machine != r.Machine || len(again.Tasks) != len(r.Tasks) || again.Seq != r.Seq {
+			t.Fatalf("read again: %+v, %v", again, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/transport/loop_test.go
@@ -0,0 +1,148 @@
+package transport
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// echo answers every request with its method, target and body.
+type echo struct {
+	loop  *Loop
+	ready chan struct{}
+}
+
+func (e *echo) Ready() { close(e.ready) }
+func (e *echo) Request(id uint64, method, target string, body []byte) {
+	if target == "/hold" {
+		return
+	}
+	e.loop.Reply(id, 200, 0, fmt.Appendf(nil, "%s %s %s", method, target, body))
+}
+
+// startLoop runs the one loop the tests share: gnet has no quick way to stop.
+var startLoop = sync.OnceValues(func() (*echo, string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	e := &echo{ready: make(chan struct{})}
+	e.loop = NewLoop(addr, addr, 64, e, slog.New(slog.DiscardHandler))
+	go func() {
+		if err := e.loop.Run(); err != nil {
+			panic(err)
+		}
+	}()
+	<-e.ready
+	return e, addr
+})
+
+func talk(t *testing.T, addr, send string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, send); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return fmt.Sprintf("%d %s", resp.StatusCode, body)
+}
+
+func TestServe(t *testing.T) {
+	_, addr := startLoop()
+	for _, c := range []struct{ send, want string }{
+		{"GET /a HTTP/1.1\r\n\r\n", "200 GET /a "},
+		{"POST /b HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi", "200 POST /b hi"},
+		{"nonsense\r\n\r\n", "400"},
+		{"GET / HTTP/3.0\r\n\r\n", "505"},
+		{"GET / HTTP/1.1\r\nA: " + strings.Repeat("x", maxHead) + "\r\n\r\n", "431"},
+		{"POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413"},
+		{"POST / HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
+	} {
+		if got := talk(t, addr, c.send); !strings.HasPrefix(got, c.want) {
+			t.Errorf("%.40q: got %q, want %q", c.send, got, c.want)
+		}
+	}
+}
+
+func TestCall(t *testing.T) {
+	e, addr := startLoop()
+	type result struct {
+		status int
+		body   string
+		err    error
+	}
+	call := func(addr, target string, timeout time.Duration) result {
+		out := make(chan result, 1)
+		e.loop.Post(func() {
+			e.loop.Call(addr, "POST", target, []byte("x"), timeout, func(status int, body []byte, err error) {
+				out <- result{status, string(body), err}
+			})
+		})
+		return <-out
+	}
+	for range 3 { // the later ones reuse the connection
+		if r := call(addr, "/c", 5*time.Second); r.err != nil || r.status != 200 || r.body != "POST /c x" {
+			t.Fatalf("got %+v", r)
+		}
+	}
+	if r := call(addr, "/hold", 50*time.Millisecond); r.err != ErrTimeout {
+		t.Errorf("an unanswered call: got %+v", r)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := ln.Addr().String()
+	ln.Close()
+	if r := call(nobody, "/", 5*time.Second); r.err != ErrNotSent {
+		t.Errorf("a refused connection: got %+v", r)
+	}
+}
+
+// TestPeers checks that what one controller publishes reaches the other over
+// an HTTP/2 stream, also what it said before the other came.
+func TestPeers(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	addr := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	a, b := addr(), addr()
+	first, err := NewPeers(a, nil, func([]byte) {}, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Publish([]byte("one"))
+	got := make(chan string, 4)
+	if _, err := NewPeers(b, []string{a}, func(line []byte) { got <- string(line) }, log); err != nil {
+		t.Fatal(err)
+	}
+	if line := <-got; line != "one" {
+		t.Errorf("got %q", line)
+	}
+	first.Publish([]byte("two"))
+	if line := <-got; line != "two" {
+		t.Errorf("got %q", line)
+	}
+}
