Give up a silent machine after two unanswered probes; silence in an outage does not count

Also found by the long_outage scenario: workers that get no answer in an outage look silent, and the last few to return were given up.

--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -26,6 +26,7 @@
 	version    uint64 // of the leader key; every write of ours demands it
 	lease      uint64
 	validUntil time.Time // until when no one else can have been elected
+	deaf       time.Time // last time that silence of workers said nothing
 	muted      bool      // the grace beyond that is over, too
 	elected    time.Time
 	phase      phase
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -45,6 +45,7 @@
 	directAsked bool
 	directPause time.Time
 	probing     bool
+	probeFails  int // probes in a row without an answer
 
 	failures  map[string]int // failed attempts by job since the last success
 	sick      bool
@@ -173,7 +174,7 @@
 		m.addr = r.Addr
 	}
 	m.heardToken = m.heardToken || r.Token >= l.token()
-	m.missing = time.Time{}
+	m.missing, m.probeFails = time.Time{}, 0
 	if newSession {
 		m.images.reset()
 	}
@@ -557,6 +558,12 @@
 	if l.phase != active {
 		return
 	}
+	if n.storeDown() || !l.entitled() {
+		// Nothing could be moved now, and workers that got no answer from this
+		// node look for another: their silence counts anew from here.
+		l.deaf = n.now
+		return
+	}
 	var silent []*machine
 	up, suspects := 0, 0
 	for _, m := range l.fleetList {
@@ -567,13 +574,18 @@
 			}
 			since = l.settled // it ran tasks for an earlier leader
 		}
+		if l.deaf.After(since) {
+			since = l.deaf
+		}
 		up++
 		d := n.now.Sub(since)
 		if d > l.suspectAfter() {
 			suspects++
+		}
+		if d > l.suspectAfter()-300*time.Millisecond {
 			l.probe(m)
 		}
-		if d > l.releaseAfter() {
+		if d > l.releaseAfter() || d > l.suspectAfter() && m.probeFails >= 2 {
 			silent = append(silent, m)
 		}
 	}
@@ -614,11 +626,12 @@
 		return
 	}
 	m.probing = true
-	l.n.call(Worker, m.addr, "GET", protocol.PathShow, nil, 1500*time.Millisecond, func(o Outcome) {
+	l.n.call(Worker, m.addr, "GET", protocol.PathShow, nil, 800*time.Millisecond, func(o Outcome) {
 		if !l.alive() {
 			return
 		}
 		m.probing = false
+		m.probeFails++
 		if !o.Answered || o.Status != 200 || m.removed {
 			return
 		}
