--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -19,6 +19,7 @@
 	bootPatience   = 4 // times the usual boot time
 	bootPatienceAt = 20 * time.Second
 	emptyPause     = 4 * time.Second
+	movePause      = 10 * time.Second
 )
 
 // demand is work without a machine.
@@ -59,6 +60,7 @@
 	listing   bool
 	listedAt  time.Time
 	typesAt   time.Time
+	movedAt   time.Time
 	fixedNeed float64 // CPUs of the largest job seen that may not use spot machines
 }
 
@@ -115,6 +117,7 @@
 	l.place()
 	l.grow()
 	l.shrink()
+	l.consolidate()
 	l.sendReleases()
 }
 
@@ -374,9 +377,17 @@
 	}
 }
 
-// headroom is the free room wanted beyond what is used. It is kept only where
-// users want work started sooner than a machine boots.
+// headroom is the free room wanted beyond what is used.
 func (l *lead) headroom(used float64) float64 {
+	if l.quickStarts() {
+		return l.n.op.HeadroomShare * used
+	}
+	return 0
+}
+
+// quickStarts reports whether users want work started sooner than a machine
+// boots: only then is room kept for what may come.
+func (l *lead) quickStarts() bool {
 	boot := time.Duration(0)
 	for _, t := range l.n.types {
 		if boot == 0 || t.Boot < boot {
@@ -386,10 +397,10 @@
 	for i := range l.n.cfg.Objectives {
 		o := &l.n.cfg.Objectives[i]
 		if (o.Kind == "wait" || o.Kind == "guarantee") && o.Within < boot {
-			return l.n.op.HeadroomShare * used
+			return true
 		}
 	}
-	return 0
+	return false
 }
 
 func (l *lead) rent(o offer, count int) {
@@ -448,6 +459,7 @@
 		}
 	}
 	want := l.headroom(used)
+	fixedNeed := l.fixedNeed()
 	var candidates []*machine
 	for _, m := range append([]*machine(nil), l.fleetList...) {
 		if m.releasing {
@@ -480,7 +492,7 @@
 	})
 	for _, m := range candidates {
 		room := l.fixedRoom(m)
-		if free-(m.spec.CPUs-m.cpus) < want+m.cpus || room > 0 && fixedRoom-room < l.fleet.fixedNeed {
+		if free-(m.spec.CPUs-m.cpus) < want+m.cpus || room > 0 && fixedRoom-room < fixedNeed {
 			continue
 		}
 		free -= m.spec.CPUs - m.cpus
@@ -490,6 +502,86 @@
 	}
 }
 
+// fixedNeed is the room kept on ordinary machines for the next service.
+func (l *lead) fixedNeed() float64 {
+	if l.quickStarts() {
+		return l.fleet.fixedNeed
+	}
+	return 0
+}
+
+// consolidate moves the replicas of a little used machine to others that hold
+// their images, where all of them find room, so that it can be returned.
+// Services stay for long, and what they were spread over when the cluster was
+// busy would stay with them. A move takes a moment: the image is there.
+func (l *lead) consolidate() {
+	n := l.n
+	if len(l.fleet.unmet) > 0 || n.storeDown() || n.now.Sub(l.fleet.movedAt) < movePause {
+		return
+	}
+	fixedRoom := 0.0
+	var candidates []*machine
+	for _, m := range l.fleetList {
+		if !l.open(m) || m.emptying {
+			continue
+		}
+		fixedRoom += l.fixedRoom(m)
+		if len(m.attempts) > 0 && m.cpus <= m.spec.CPUs/2+protocol.Epsilon && n.now.Sub(m.rented) > 2*minimumCharge {
+			candidates = append(candidates, m)
+		}
+	}
+	sort.SliceStable(candidates, func(i, k int) bool {
+		a, b := candidates[i], candidates[k]
+		if pa, pb := a.pricePerCPU(), b.pricePerCPU(); pa != pb {
+			return pa > pb
+		}
+		return a.cpus < b.cpus
+	})
+	for _, m := range candidates {
+		if room := l.fixedRoom(m); room > 0 && fixedRoom-m.spec.CPUs < l.fixedNeed() {
+			continue
+		}
+		if l.canMove(m) {
+			n.log.Info("moving replicas", "machine", m.name, "attempts", len(m.attempts))
+			l.fleet.movedAt = n.now
+			m.emptying = true
+			for _, a := range m.sorted() {
+				l.stopAttempt(a, 0)
+			}
+			return
+		}
+	}
+}
+
+// canMove reports whether everything on a machine is a running replica that
+// finds room and its image elsewhere.
+func (l *lead) canMove(m *machine) bool {
+	type taken struct{ cpus, gpus, mem float64 }
+	used := map[*machine]taken{}
+	for _, a := range m.sorted() {
+		j := a.job
+		if j.Kind != protocol.Service || a.state != protocol.Running || a.stop || j.toStart() > 0 {
+			return false
+		}
+		found := false
+		for _, o := range l.fleetList {
+			t := used[o]
+			if o == m || o.emptying || !l.open(o) || !o.allowed(j.Job) || o.zone != m.zone || o.images.bytes(j.Image) == 0 ||
+				o.cpus+t.cpus+j.CPUs > o.spec.CPUs+protocol.Epsilon || o.gpus+t.gpus+j.GPUs > o.spec.GPUs+protocol.Epsilon ||
+				o.mem+t.mem+j.MemGB > o.spec.MemGB+protocol.Epsilon {
+				continue
+			}
+			used[o] = taken{t.cpus + j.CPUs, t.gpus + j.GPUs, t.mem + j.MemGB}
+			found = true
+			break
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
 // fixedRoom is the room on an ordinary machine that work which may not use
 // spot machines can have, other work giving way.
 func (l *lead) fixedRoom(m *machine) float64 {
