--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -22,7 +22,8 @@
 	RoomWeight  float64 `json:"roomWeight"`
 	// HeadroomShare is the free room kept beyond what runs, as a share of it.
 	HeadroomShare float64 `json:"headroomShare"`
-	// IdleSeconds is how long an unneeded empty machine is kept.
+	// IdleSeconds is how long a machine that is not needed stays after its last
+	// task ended.
 	IdleSeconds float64 `json:"idleSeconds"`
 	// LeaderLeaseSeconds is how long a leader that fell silent stays leader.
 	LeaderLeaseSeconds float64 `json:"leaderLeaseSeconds"`
@@ -32,7 +33,7 @@
 
 // DefaultOperator is used where operators set nothing.
 func DefaultOperator() Operator {
-	return Operator{ImageWeight: 1, RoomWeight: 1, HeadroomShare: 0.2, IdleSeconds: 30, LeaderLeaseSeconds: 2, Spot: true}
+	return Operator{ImageWeight: 1, RoomWeight: 1, HeadroomShare: 0.2, IdleSeconds: 4, LeaderLeaseSeconds: 2, Spot: true}
 }
 
 // Idle is IdleSeconds as a duration.
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -18,7 +18,6 @@
 	releaseRetry   = time.Second
 	bootPatience   = 4 // times the usual boot time
 	bootPatienceAt = 20 * time.Second
-	emptyPause     = 4 * time.Second
 	movePause      = 10 * time.Second
 )
 
@@ -475,21 +474,15 @@
 			l.release(m, "unknown type")
 		case !m.noticeAt.IsZero() && n.now.After(m.noticeAt.Add(2*time.Second)) && len(m.attempts) == 0:
 			l.release(m, "taken")
-		case m.emptying && len(m.attempts) == 0 && age > minimumCharge && n.now.Sub(m.emptySince) > emptyPause:
+		case m.emptying && len(m.attempts) == 0 && age > minimumCharge && n.now.Sub(m.emptySince) > n.op.Idle():
 			l.release(m, "not needed")
 		case m.up && m.recorded && m.spec != nil && !m.draining && !m.emptying && m.noticeAt.IsZero() && !m.holdsService():
 			candidates = append(candidates, m)
 		}
 	}
-	// The dearest first, then the emptiest. Tasks spread over all machines, so
-	// that waiting for one to be empty by chance would keep them all.
-	sort.SliceStable(candidates, func(i, k int) bool {
-		a, b := candidates[i], candidates[k]
-		if pa, pb := a.pricePerCPU(), b.pricePerCPU(); pa != pb {
-			return pa > pb
-		}
-		return a.cpus < b.cpus
-	})
+	// Tasks spread over all machines: waiting for one to be empty by chance
+	// would keep them all.
+	dearestFirst(candidates)
 	for _, m := range candidates {
 		room := l.fixedRoom(m)
 		if free-(m.spec.CPUs-m.cpus) < want+m.cpus || room > 0 && fixedRoom-room < fixedNeed {
@@ -530,13 +523,7 @@
 			candidates = append(candidates, m)
 		}
 	}
-	sort.SliceStable(candidates, func(i, k int) bool {
-		a, b := candidates[i], candidates[k]
-		if pa, pb := a.pricePerCPU(), b.pricePerCPU(); pa != pb {
-			return pa > pb
-		}
-		return a.cpus < b.cpus
-	})
+	dearestFirst(candidates)
 	for _, m := range candidates {
 		if room := l.fixedRoom(m); room > 0 && fixedRoom-m.spec.CPUs < l.fixedNeed() {
 			continue
@@ -606,6 +593,17 @@
 	return false
 }
 
+// dearestFirst orders machines by price, the emptiest first among equals.
+func dearestFirst(list []*machine) {
+	sort.SliceStable(list, func(i, k int) bool {
+		a, b := list[i], list[k]
+		if pa, pb := a.pricePerCPU(), b.pricePerCPU(); pa != pb {
+			return pa > pb
+		}
+		return a.cpus < b.cpus
+	})
+}
+
 func (m *machine) pricePerCPU() float64 {
 	return offer{spec: m.spec, spot: m.spot}.price() / m.spec.CPUs
 }
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -9,7 +9,6 @@
 type peerView struct {
 	at       time.Time
 	storeOK  bool
-	term     uint64
 	progress map[string][2]int
 }
 
@@ -48,7 +47,7 @@
 	n.now = now
 	var m peerMessage
 	if json.Unmarshal(body, &m) == nil && m.Node != "" && m.Node != n.cfg.Name && n.isPeer(m.Node) {
-		n.peers[m.Node] = &peerView{at: now, storeOK: m.StoreOK, term: m.Term, progress: m.Progress}
+		n.peers[m.Node] = &peerView{at: now, storeOK: m.StoreOK, progress: m.Progress}
 		if n.lead != nil && m.Term > n.lead.term {
 			n.stepDown("a peer leads with a later term")
 		}
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -22,21 +22,33 @@
 
 var errOdd = errors.New("an answer that makes no sense")
 
+type wireType struct {
+	Name      string   `json:"label"`
+	CPUs      float64  `json:"cpus"`
+	GPUs      float64  `json:"gpus"`
+	MemGB     float64  `json:"memGb"`
+	CacheGB   float64  `json:"localGb"`
+	FetchRate float64  `json:"fetchGbPerS"`
+	Price     float64  `json:"rate"`
+	SpotPrice float64  `json:"spotPrice"`
+	Boot      float64  `json:"readyS"`
+	Zones     []string `json:"harbours"`
+}
+
+type wireHost struct {
+	Name  string  `json:"nameId"`
+	Addr  string  `json:"endpoint"`
+	Type  string  `json:"hullForm"`
+	Zone  string  `json:"harbour"`
+	Spot  bool    `json:"driftwood"`
+	State string  `json:"bearing"`
+	Age   float64 `json:"ageS"`
+}
+
 // ParseTypes reads the cloud's machine types.
 func ParseTypes(body []byte) ([]MachineType, error) {
 	var w struct {
-		Types []struct {
-			Name      string   `json:"label"`
-			CPUs      float64  `json:"cpus"`
-			GPUs      float64  `json:"gpus"`
-			MemGB     float64  `json:"memGb"`
-			CacheGB   float64  `json:"localGb"`
-			FetchRate float64  `json:"fetchGbPerS"`
-			Price     float64  `json:"rate"`
-			SpotPrice float64  `json:"spotPrice"`
-			Boot      float64  `json:"readyS"`
-			Zones     []string `json:"harbours"`
-		} `json:"hullForms"`
+		Types []wireType `json:"hullForms"`
 	}
 	if err := json.Unmarshal(body, &w); err != nil {
 		return nil, err
@@ -57,14 +69,7 @@
 
 // RentBody asks for machines.
 func RentBody(request, typ, zone string, spot bool, count int) []byte {
-	b, _ := json.Marshal(struct {
-		Request string `json:"charter"`
-		Type    string `json:"hullForm"`
-		Zone    string `json:"harbour"`
-		Spot    bool   `json:"driftwood"`
-		Count   int    `json:"howMany"`
-	}{request, typ, zone, spot, count})
-	return b
+	return Encode(RentRequest{request, typ, zone, spot, count})
 }
 
 // ParseNames reads the names of the machines that were rented.
@@ -88,10 +93,7 @@
 
 // ReleaseBody names machines to return.
 func ReleaseBody(names []string) []byte {
-	b, _ := json.Marshal(struct {
-		Names []string `json:"decks"`
-	}{names})
-	return b
+	return EncodeNames(names)
 }
 
 // ListTarget is the target of one page of the cloud's list.
@@ -106,16 +108,8 @@
 // ParseList reads one page of the cloud's list.
 func ParseList(body []byte) (list []ListedMachine, more bool, err error) {
 	var w struct {
-		Machines []struct {
-			Name  string  `json:"nameId"`
-			Addr  string  `json:"endpoint"`
-			Type  string  `json:"hullForm"`
-			Zone  string  `json:"harbour"`
-			Spot  bool    `json:"driftwood"`
-			State string  `json:"bearing"`
-			Age   float64 `json:"ageS"`
-		} `json:"decks"`
-		More *bool `json:"more"`
+		Machines []wireHost `json:"decks"`
+		More     *bool      `json:"more"`
 	}
 	if err := json.Unmarshal(body, &w); err != nil {
 		return nil, false, err
--- a/internal/protocol/farside.go
+++ b/internal/protocol/farside.go
@@ -132,21 +132,9 @@
 
 // EncodeTypes makes the cloud's list of machine types.
 func EncodeTypes(types []MachineType) []byte {
-	type wire struct {
-		Name  string   `json:"label"`
-		CPUs  float64  `json:"cpus"`
-		GPUs  float64  `json:"gpus"`
-		Mem   float64  `json:"memGb"`
-		Cache float64  `json:"localGb"`
-		Fetch float64  `json:"fetchGbPerS"`
-		Price float64  `json:"rate"`
-		Spot  float64  `json:"spotPrice"`
-		Boot  float64  `json:"readyS"`
-		Zones []string `json:"harbours"`
-	}
-	list := []wire{}
+	list := []wireType{}
 	for _, t := range types {
-		list = append(list, wire{t.Name, t.CPUs, t.GPUs, t.MemGB, t.CacheGB, t.FetchRate, t.Price, t.SpotPrice, t.Boot.Seconds(), t.Zones})
+		list = append(list, wireType{t.Name, t.CPUs, t.GPUs, t.MemGB, t.CacheGB, t.FetchRate, t.Price, t.SpotPrice, t.Boot.Seconds(), t.Zones})
 	}
 	return Encode(map[string]any{"hullForms": list})
 }
@@ -168,18 +156,9 @@
 
 // EncodeList makes one page of the cloud's list.
 func EncodeList(list []ListedMachine, more bool) []byte {
-	type wire struct {
-		Name  string  `json:"nameId"`
-		Addr  string  `json:"endpoint"`
-		Type  string  `json:"hullForm"`
-		Zone  string  `json:"harbour"`
-		Spot  bool    `json:"driftwood"`
-		State string  `json:"bearing"`
-		Age   float64 `json:"ageS"`
-	}
-	out := []wire{}
+	out := []wireHost{}
 	for _, m := range list {
-		out = append(out, wire{m.Name, m.Addr, m.Type, m.Zone, m.Spot,
+		out = append(out, wireHost{m.Name, m.Addr, m.Type, m.Zone, m.Spot,
 			[...]string{Booting: "starting", Up: "running", Failed: "failed"}[m.State], m.Age.Seconds()})
 	}
 	return Encode(map[string]any{"decks": out, "more": more})
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -317,9 +317,6 @@
 	}
 }
 
-// Pending is the number of requests being answered.
-func (l *Loop) Pending() int { return len(l.pending) }
-
 // Call sends one request and runs done with the outcome, exactly once, on the
 // loop.
 func (l *Loop) Call(addr, method, target string, body []byte, timeout time.Duration, done func(status int, body []byte, err error)) {
