--- a/cmd/brasskeel/control.go
+++ b/cmd/brasskeel/control.go
@@ -36,6 +36,7 @@
 	peers *transport.Peers
 	timer *time.Timer
 	armed time.Time
+	ready chan struct{} // closed once the core has started
 }
 
 func runControl(cfg *config.Settings, op config.Operator, level slog.Level) error {
@@ -46,25 +47,27 @@
 	debug.SetGCPercent(200)
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.Name)
 
-	c := &control{cfg: cfg}
+	// Libraries that use the standard logger are heard at debug level.
+	slog.SetDefault(log)
+	slog.SetLogLoggerLevel(slog.LevelDebug)
+
+	c := &control{cfg: cfg, ready: make(chan struct{})}
 	c.node = coordination.New(cfg, op, log, rand.Uint64(), time.Now())
 	c.loop = transport.NewLoop(cfg.Listen, cfg.State, cfg.Sockets, c, log)
 	var addrs []string
 	for _, p := range cfg.Peers {
 		addrs = append(addrs, p.Addr)
 	}
-	ready := make(chan struct{})
 	c.timer = time.AfterFunc(time.Hour, func() { c.loop.Post(c.tick) })
 	c.timer.Stop()
 	var err error
 	c.peers, err = transport.NewPeers(cfg.PeerListen, addrs, func(line []byte) {
-		<-ready
+		<-c.ready
 		c.loop.Post(func() { c.apply(c.node.Peer(time.Now(), line)) })
 	}, log)
 	if err != nil {
 		return err
 	}
-	c.loop.OnReady = func() { close(ready) }
 	log.Info("starting", "listen", cfg.Listen, "back", cfg.PeerListen, "zone", cfg.Zone)
 	if err := c.loop.Run(); err != nil {
 		return err
@@ -73,7 +76,10 @@
 }
 
 // Ready implements transport.Handler.
-func (c *control) Ready() { c.apply(c.node.Start(time.Now())) }
+func (c *control) Ready() {
+	c.apply(c.node.Start(time.Now()))
+	close(c.ready)
+}
 
 // Request implements transport.Handler.
 func (c *control) Request(id uint64, method, target string, body []byte) {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"sync"
@@ -41,8 +42,6 @@
 // whatever else is posted to it, so that the state behind Handler needs no lock.
 type Loop struct {
 	gnet.BuiltinEventEngine
-	// OnReady, if set, runs once when work can be posted.
-	OnReady  func()
 	addr     string
 	handler  Handler
 	log      *slog.Logger
@@ -109,10 +108,21 @@
 		gnet.WithReusePort(true), // with it gnet accepts on the same loop, without a second thread
 		gnet.WithReadBufferCap(64<<10),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithLogLevel(logging.ErrorLevel),
+		gnet.WithLogLevel(logging.WarnLevel),
+		gnet.WithLogger(gnetLogger{l.log}),
 	)
 }
 
+// gnetLogger writes gnet's own messages to our log. What it tells of single
+// connections is everyday news here: peers come and go.
+type gnetLogger struct{ log *slog.Logger }
+
+func (g gnetLogger) Debugf(format string, args ...any) { g.log.Debug(fmt.Sprintf(format, args...)) }
+func (g gnetLogger) Infof(format string, args ...any)  { g.log.Debug(fmt.Sprintf(format, args...)) }
+func (g gnetLogger) Warnf(format string, args ...any)  { g.log.Debug(fmt.Sprintf(format, args...)) }
+func (g gnetLogger) Errorf(format string, args ...any) { g.log.Warn(fmt.Sprintf(format, args...)) }
+func (g gnetLogger) Fatalf(format string, args ...any) { g.log.Error(fmt.Sprintf(format, args...)) }
+
 // OnBoot implements gnet.EventHandler.
 func (l *Loop) OnBoot(eng gnet.Engine) gnet.Action {
 	l.eng = eng
@@ -158,9 +168,6 @@
 		l.el = c.EventLoop()
 		l.start.Unlock()
 		l.After(sweepInterval, l.sweep)
-		if l.OnReady != nil {
-			l.OnReady()
-		}
 		l.handler.Ready()
 	}
 	if o, ok := c.Context().(*outgoing); ok {
