An answer to an overtaken report renews the lease too; record machines met while loading

Both found by reading. A report overtaken by a response of /show was answered without noting the time, so that the proof by the end of the lease could come too early. Machines adopted while the records were read were never recorded and so never used.

--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -219,6 +219,11 @@
 		wait = n.cfg.ReportInterval / 2
 	}
 	l.settled = l.elected.Add(wait)
+	for _, m := range l.fleetList {
+		if !m.recorded { // it reported while the records were read
+			l.journal.putMachine(m)
+		}
+	}
 	live := 0
 	for _, j := range l.order {
 		live += j.live
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -139,8 +139,10 @@
 		m = l.adopt(r.Machine, r.Type, r.Zone, r.Spot, 0)
 	}
 	if m.up && (r.Session < m.session || r.Session == m.session && r.Seq <= m.seq) {
-		// Late or repeated. It tells nothing new, and orders in its answer
-		// would be judged by the wrong list of tasks.
+		// Late or repeated, or overtaken by a response of the worker's. It
+		// tells nothing new, and orders in its answer would be judged by the
+		// wrong list of tasks. But the answer renews the lease all the same.
+		m.answered = n.now
 		n.reply(id, 200, protocol.ReportAnswer(l.machineToken(m), nil))
 		return
 	}
