--- /dev/null
+++ b/internal/coordination/machines_test.go
@@ -0,0 +1,110 @@
+package coordination
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"brasskeel/internal/config"
+	"brasskeel/internal/protocol"
+)
+
+// leading makes a node that leads in the given phase, with nothing running.
+func leading(p phase) (*Node, *lead) {
+	now := time.Date(2026, 9, 21, 12, 0, 0, 0, time.UTC)
+	cfg := &config.Settings{Name: "n0", Zone: "a", ReportInterval: 2 * time.Second, WorkerLease: 15 * time.Second,
+		CancelWithin: 40 * time.Second, StateRPS: 200, StateWriteRPS: 80, ValueBytes: 8 << 10, TxnOps: 12, CloudRPS: 4,
+		Teams: []config.Team{{Name: "red", CPUs: 8, CPUsMax: 16}}}
+	n := New(cfg, config.DefaultOperator(), slog.New(slog.DiscardHandler), 1, now)
+	n.setTypes([]protocol.MachineType{{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 3, FetchRate: 1, Price: 1, SpotPrice: 0.5,
+		Boot: 10 * time.Second, Zones: []string{"a"}}})
+	n.becomeLeader(1, 10, 5, now.Add(time.Hour))
+	n.lead.phase = p
+	n.take()
+	return n, n.lead
+}
+
+func report(seq uint64) []byte {
+	return protocol.EncodeReport(&protocol.Report{Machine: "vm-1", Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: seq, Token: 1 << 16})
+}
+
+// The answer to a report that a response of the worker's has overtaken renews
+// the worker's lease: not counting it would take the worker for dead too soon.
+func TestOvertakenReportRenewsLease(t *testing.T) {
+	n, l := leading(active)
+	start := n.now
+	n.Request(start, 1, "POST", protocol.PathReport, report(4))
+	m := l.machines["vm-1"]
+	r, err := protocol.ParseReport(report(6))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.takeReport(m, r, false)
+	later := start.Add(3 * time.Second)
+	e := n.Request(later, 2, "POST", protocol.PathReport, report(5))
+	if len(e.Replies) != 1 || e.Replies[0].Status != 200 {
+		t.Fatalf("got %+v", e.Replies)
+	}
+	if proof := l.silentProof(m); proof.Before(later.Add(n.cfg.WorkerLease)) {
+		t.Errorf("taken for dead %s after the answer, its lease is %s", proof.Sub(later), n.cfg.WorkerLease)
+	}
+}
+
+// A machine that first reports while the records are read gets its own record
+// afterwards; without it nothing would ever be placed there.
+func TestMachineMetWhileLoadingIsRecorded(t *testing.T) {
+	n, l := leading(loading)
+	n.Request(n.now, 1, "POST", protocol.PathReport, report(1))
+	m := l.machines["vm-1"]
+	if m == nil || len(l.journal.puts) != 0 {
+		t.Fatalf("machine %v, %d records to write while loading", m, len(l.journal.puts))
+	}
+	l.loaded()
+	if len(l.journal.puts) != 1 || l.journal.puts[0] != m {
+		t.Errorf("%d machine records to write", len(l.journal.puts))
+	}
+}
+
+func TestImageCache(t *testing.T) {
+	var c imageCache
+	c.add("a", 1, 3)
+	c.add("b", 1, 3)
+	c.add("c", 1, 3)
+	c.add("a", 1, 3) // used again: now b is the oldest
+	c.add("d", 1, 3)
+	for image, want := range map[string]float64{"a": 1, "b": 0, "c": 1, "d": 1} {
+		if got := c.bytes(image); got != want {
+			t.Errorf("%s: %g GB, want %g", image, got, want)
+		}
+	}
+}
+
+// The score prefers the machine that holds the image, then the one with more
+// free room; one that is being emptied comes last.
+func TestBest(t *testing.T) {
+	_, l := leading(active)
+	j := &job{Job: &protocol.Job{ID: "run-000001", Team: "red", Tasks: 1, CPUs: 1, MemGB: 1, Image: "a", ImageGB: 1},
+		zones: map[string]int{}, failedOn: map[string]struct{}{}}
+	var list []*machine
+	for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
+		m := l.newMachine(name, "small", "a", false)
+		m.up, m.recorded, m.heard = true, true, l.n.now
+		list = append(list, m)
+	}
+	list[0].cpus, list[1].cpus, list[2].cpus = 2, 0, 1
+	if got := l.best(j); got != list[1] {
+		t.Errorf("without images: %s", got.name)
+	}
+	list[0].images.add("a", 1, 3)
+	if got := l.best(j); got != list[0] {
+		t.Errorf("with the image on vm-1: %s", got.name)
+	}
+	list[0].emptying = true
+	if got := l.best(j); got != list[1] {
+		t.Errorf("with vm-1 being emptied: %s", got.name)
+	}
+	list[1].cpus, list[2].cpus = 4, 4
+	if got := l.best(j); got != list[0] || list[0].emptying {
+		t.Errorf("with room only there: %s", got.name)
+	}
+}
