--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -362,6 +362,7 @@
 	}
 	for _, b := range bins {
 		free += b.cpus
+		used += b.offer.spec.CPUs - b.cpus // by what waits for it
 	}
 	want := l.headroom(used)
 	for _, o := range offers {
