--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -157,7 +157,8 @@
 		switch r {
 		case txnApplied:
 			n.admission.setKnown(job.ID)
-			n.log.Debug("job accepted", "job", job.ID, "class", job.Class, "tasks", job.Tasks)
+			n.log.Debug("job accepted", "job", job.ID, "class", job.Class, "tasks", job.Tasks,
+				"estimate", job.Estimate, "deadline", job.Deadline)
 			n.reply(id, 201, protocol.JobAnswer(job.ID, protocol.Queued))
 		case txnFailed:
 			n.admission.waiting++
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -35,7 +35,8 @@
 	jobs      map[string]*job
 	order     []*job // by submission
 	teams     map[string]*usage
-	stopped   map[string]usage // of the teams' work, what was told to stop
+	bias      map[string]float64 // of estimates, by class
+	stopped   map[string]usage   // of the teams' work, what was told to stop
 	machines  map[string]*machine
 	fleetList []*machine           // the same, in the order they became known
 	gone      map[string]time.Time // machines proven gone, while lists may still show them
@@ -130,7 +131,7 @@
 
 func (n *Node) becomeLeader(term, version, lease uint64, validUntil time.Time) {
 	l := &lead{n: n, term: term, version: version, lease: lease, validUntil: validUntil, elected: n.now, phase: loading,
-		jobs: map[string]*job{}, teams: map[string]*usage{}, stopped: map[string]usage{}, machines: map[string]*machine{},
+		jobs: map[string]*job{}, teams: map[string]*usage{}, stopped: map[string]usage{}, bias: map[string]float64{}, machines: map[string]*machine{},
 		gone: map[string]time.Time{}}
 	for name := range n.teams {
 		l.teams[name] = &usage{}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -363,6 +363,9 @@
 			m.images.add(j.Image, j.ImageGB, m.cacheGB())
 		}
 		clear(m.failures)
+		if a != nil {
+			l.learn(a)
+		}
 		l.taskDone(j, t.Index)
 	}
 	if a != nil {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -99,14 +99,16 @@
 // goal is what a job can still reach: the aim of its class or its deadline.
 type goal struct {
 	missed int       // earlier ones that can't be met any more
-	due    time.Time // of the first that can
+	latest time.Time // when tasks should start for the first that can
 	work   float64   // what is left to run, in seconds of a CPU
 }
 
-// goalOf finds the first goal that the job still meets if its tasks start now
-// and run as long as estimated.
+// goalOf finds the first goal that the job may still meet if its tasks start
+// now. Owners' estimates are often wrong by half, so a goal is given up only
+// when half of the estimate is too long: a job given up too soon would wait
+// behind all others with a part of its tasks.
 func (l *lead) goalOf(j *job, wall time.Time) goal {
-	est := max(j.Estimate, time.Second)
+	est := max(time.Duration(float64(j.Estimate)*l.biasOf(j.Class)), time.Second)
 	g := goal{work: est.Seconds() * float64(j.Tasks-j.doneCount) * max(j.CPUs, 0.1)}
 	var goals []time.Time
 	if j.HasDeadline {
@@ -121,25 +123,43 @@
 		slices.SortFunc(goals, time.Time.Compare)
 	}
 	for _, at := range goals {
-		if wall.Add(est).Before(at) {
-			g.due = at
+		if wall.Add(est / 2).Before(at) {
+			g.latest = at.Add(-est)
 			return g
 		}
 		g.missed++
 	}
-	g.due = j.submitted.Add(time.Hour)
+	g.latest = j.submitted.Add(time.Hour)
 	return g
 }
 
+// biasOf is how long tasks of a class run, as a multiple of their estimates:
+// on some days those are mostly too high or too low.
+func (l *lead) biasOf(class string) float64 {
+	if b, ok := l.bias[class]; ok {
+		return b
+	}
+	return 1
+}
+
+// learn takes a completed task's run time into its class's bias.
+func (l *lead) learn(a *attempt) {
+	if a.state != protocol.Running || a.inherited || a.job.Estimate <= 0 {
+		return
+	}
+	ratio := float64(l.n.now.Sub(a.since)) / float64(a.job.Estimate)
+	l.bias[a.job.Class] = l.biasOf(a.job.Class)*0.95 + min(max(ratio, 0.2), 5)*0.05
+}
+
 // compare orders jobs of the same standing: first those whose first goal is
-// still in reach; those with deadlines by when they are due, and the others,
-// where it counts how many are in time, by the work left.
-func (g goal) compare(h goal, deadlines bool) int {
+// still in reach; among them, since it counts how many are in time, by the work
+// left. By deadline alone a backlog makes every job a little late.
+func (g goal) compare(h goal) int {
 	if g.missed != h.missed {
 		return g.missed - h.missed
 	}
-	if deadlines || g.work == h.work {
-		return g.due.Compare(h.due)
+	if g.work == h.work {
+		return g.latest.Compare(h.latest)
 	}
 	if g.work < h.work {
 		return -1
@@ -176,7 +196,7 @@
 		if d := int(b.Priority) - int(a.Priority); d != 0 {
 			return d
 		}
-		return goals[a].compare(goals[b], a.HasDeadline && b.HasDeadline)
+		return goals[a].compare(goals[b])
 	})
 	return list
 }
