--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -108,3 +108,31 @@
 		t.Errorf("with room only there: %s", got.name)
 	}
 }
+
+// A job gives way by the work it has left: more so when its deadline is out of
+// reach, less so the longer it waits. What is left of a late job may be small
+// and then isn't last.
+func TestWeight(t *testing.T) {
+	n, l := leading(active)
+	wall := n.now
+	jobOf := func(tasks, done int, age time.Duration) *job {
+		return &job{Job: &protocol.Job{Class: "c", Kind: protocol.Batch, Tasks: tasks, CPUs: 1, Estimate: 10 * time.Second,
+			Deadline: 40 * time.Second, HasDeadline: true}, submitted: wall.Add(-age), doneCount: done}
+	}
+	fresh, large := jobOf(10, 0, 0), jobOf(20, 0, 0)
+	late, rest := jobOf(10, 0, 50*time.Second), jobOf(10, 9, 50*time.Second)
+	old := jobOf(20, 0, 5*time.Hour)
+	order := []*job{rest, fresh, large, late}
+	for i := 1; i < len(order); i++ {
+		if a, b := l.weight(order[i-1], wall), l.weight(order[i], wall); a >= b {
+			t.Errorf("weight %d is %g, weight %d is %g", i-1, a, i, b)
+		}
+	}
+	if a, b := l.weight(old, wall), l.weight(fresh, wall); a >= b {
+		t.Errorf("a job that waited for hours counts %g, a fresh one %g", a, b)
+	}
+	l.bias["c"] = 5 // tasks of the class take five times their estimates
+	if a, b := l.weight(fresh, wall), l.weight(jobOf(2, 0, 0), wall); a <= b {
+		t.Errorf("with a bias: %g and %g", a, b)
+	}
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -96,43 +96,41 @@
 	}
 }
 
-// goal is what a job can still reach: the aim of its class or its deadline.
-type goal struct {
-	missed int       // earlier ones that can't be met any more
-	latest time.Time // when tasks should start for the first that can
-	work   float64   // what is left to run, in seconds of a CPU
-}
-
-// goalOf finds the first goal that the job may still meet if its tasks start
-// now. Owners' estimates are often wrong by half, so a goal is given up only
-// when half of the estimate is too long: a job given up too soon would wait
-// behind all others with a part of its tasks.
-func (l *lead) goalOf(j *job, wall time.Time) goal {
+// weight says how a job compares with others of the same standing; the
+// smallest goes first. It is the work left, since what counts is how many jobs
+// are in time: by deadline alone a backlog makes every job a little late. A goal
+// that can't be met any more makes it count several times as much, so that the
+// job gives way without being last: the one task that is left of it may be
+// small. Waiting makes it count less, so that no job waits for ever.
+//
+// Owners' estimates are often wrong by half, so a goal is given up only when
+// half of the estimate is too long for it.
+func (l *lead) weight(j *job, wall time.Time) float64 {
 	est := max(time.Duration(float64(j.Estimate)*l.biasOf(j.Class)), time.Second)
-	g := goal{work: est.Seconds() * float64(j.Tasks-j.doneCount) * max(j.CPUs, 0.1)}
-	var goals []time.Time
+	var goals []time.Duration
 	if j.HasDeadline {
-		goals = append(goals, j.submitted.Add(j.Deadline), j.submitted.Add(j.Deadline*3/2))
+		goals = append(goals, j.Deadline, j.Deadline*3/2)
 	} else {
 		for i := range l.n.cfg.Objectives {
-			o := &l.n.cfg.Objectives[i]
-			if o.Kind == "finished" && o.Class == j.Class {
-				goals = append(goals, j.submitted.Add(o.Within))
+			if o := &l.n.cfg.Objectives[i]; o.Kind == "finished" && o.Class == j.Class {
+				goals = append(goals, o.Within)
 			}
 		}
-		slices.SortFunc(goals, time.Time.Compare)
 	}
-	for _, at := range goals {
-		if wall.Add(est / 2).Before(at) {
-			g.latest = at.Add(-est)
-			return g
+	age := max(wall.Sub(j.submitted), 0)
+	missed := 0
+	for _, goal := range goals {
+		if age+est/2 >= goal {
+			missed++
 		}
-		g.missed++
 	}
-	g.latest = j.submitted.Add(time.Hour)
-	return g
+	work := est.Seconds() * float64(j.Tasks-j.doneCount) * max(j.CPUs, 0.1)
+	return work * float64(1+missedGoal*missed) / (1 + age.Minutes()/10)
 }
 
+// missedGoal is how many times its work a goal out of reach adds to a job.
+const missedGoal = 4
+
 // biasOf is how long tasks of a class run, as a multiple of their estimates:
 // on some days those are mostly too high or too low.
 func (l *lead) biasOf(class string) float64 {
@@ -151,33 +149,17 @@
 	l.bias[a.job.Class] = l.biasOf(a.job.Class)*0.95 + min(max(ratio, 0.2), 5)*0.05
 }
 
-// compare orders jobs of the same standing: first those whose first goal is
-// still in reach; among them, since it counts how many are in time, by the work
-// left. By deadline alone a backlog makes every job a little late.
-func (g goal) compare(h goal) int {
-	if g.missed != h.missed {
-		return g.missed - h.missed
-	}
-	if g.work == h.work {
-		return g.latest.Compare(h.latest)
-	}
-	if g.work < h.work {
-		return -1
-	}
-	return 1
-}
-
 // waitingOrder lists the jobs with waiting tasks in the order they are served:
 // critical ones, then those within their team's guarantee, then by priority,
-// then by what they can still reach.
+// then by weight.
 func (l *lead) waitingOrder() []*job {
 	var list []*job
 	wall := l.n.now.Round(0)
-	goals := map[*job]goal{}
+	weights := map[*job]float64{}
 	for _, j := range l.order {
 		if j.toStart() > 0 {
 			list = append(list, j)
-			goals[j] = l.goalOf(j, wall)
+			weights[j] = l.weight(j, wall)
 		}
 	}
 	rank := func(j *job) int {
@@ -196,7 +178,13 @@
 		if d := int(b.Priority) - int(a.Priority); d != 0 {
 			return d
 		}
-		return goals[a].compare(goals[b])
+		switch wa, wb := weights[a], weights[b]; {
+		case wa < wb:
+			return -1
+		case wa > wb:
+			return 1
+		}
+		return 0
 	})
 	return list
 }
