--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -557,6 +557,14 @@
 	return max(l.n.cfg.ReportInterval*2+time.Second, 4*time.Second)
 }
 
+// Times of silence after which a worker is asked, and after which it is given
+// up if it doesn't answer that either. Reports may be seconds apart; a worker
+// that lives answers within milliseconds.
+const (
+	probeAfter  = 2 * time.Second
+	giveUpAfter = 3500 * time.Millisecond
+)
+
 // watchMachines looks for machines that have fallen silent. Silence proves
 // nothing; releasing the machine does, and takes a moment.
 func (l *lead) watchMachines() {
@@ -585,13 +593,13 @@
 		}
 		up++
 		d := n.now.Sub(since)
-		if d > l.suspectAfter() {
+		if d > l.suspectAfter() || m.probeFails > 0 {
 			suspects++
 		}
-		if d > l.suspectAfter()-300*time.Millisecond {
+		if d > probeAfter {
 			l.probe(m)
 		}
-		if d > l.releaseAfter() || d > l.suspectAfter() && m.probeFails >= 2 {
+		if d > l.releaseAfter() || d > giveUpAfter && m.probeFails >= 3 {
 			silent = append(silent, m)
 		}
 	}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -218,7 +218,7 @@
 // open reports whether a machine takes new tasks: it has reported to this
 // leader, is not on its way out, and isn't silent.
 func (l *lead) open(m *machine) bool {
-	return m.up && m.recorded && m.spec != nil && !m.draining && !m.releasing && m.noticeAt.IsZero() &&
+	return m.up && m.recorded && m.spec != nil && !m.draining && !m.releasing && m.noticeAt.IsZero() && m.probeFails == 0 &&
 		l.n.now.Sub(m.heard) <= l.suspectAfter()
 }
 
