--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -29,7 +29,7 @@
 		if left > 0 && l.presses(j) {
 			left = l.makeRoom(j, left)
 		}
-		if left > 0 {
+		if left > 0 && l.placeable(j) {
 			l.fleet.unmet = append(l.fleet.unmet, demand{j, left})
 		}
 	}
@@ -38,6 +38,23 @@
 	}
 }
 
+// placeable reports whether any machine that can be rented would take one more
+// task of the job: where machines can be had in one zone only, a job that may
+// have half of its tasks there waits for ever, and nothing should wait with it.
+func (l *lead) placeable(j *job) bool {
+	for _, t := range l.n.types {
+		if !j.AllowsType(t.Name) || !t.Fits(j.Job) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if (j.Zone == "" || j.Zone == z) && j.zoneAllows(z) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // toStart is the number of a job's tasks that wait for a machine.
 func (j *job) toStart() int {
 	if j.outcome != 0 {
