--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -277,6 +277,8 @@
 		return "one"
 	case "show":
 		return r.show()
+	case "fleet":
+		return r.fleet()
 	case "jobs":
 		return r.jobStarts(t, d)
 	}
@@ -371,6 +373,26 @@
 	return b.String()
 }
 
+// fleet counts the machines that are paid for.
+func (r *runner) fleet() string {
+	count := map[string]int{}
+	for _, h := range r.c.cloud.hosts {
+		if h.gone.IsZero() && h.failed.IsZero() {
+			kind := h.typ + " " + h.zone
+			if h.spot {
+				kind += " spot"
+			}
+			count[kind]++
+		}
+	}
+	var list []string
+	for kind, n := range count {
+		list = append(list, fmt.Sprintf("%d %s", n, kind))
+	}
+	slices.Sort(list)
+	return strings.Join(list, "\n")
+}
+
 // jobStarts tells how often tasks of a job started.
 func (r *runner) jobStarts(t *testing.T, d *datadriven.TestData) string {
 	j := r.c.jobs[first(t, d)]
