--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -198,7 +198,6 @@
 type bin struct {
 	offer           offer
 	cpus, gpus, mem float64
-	zoneTasks       map[*job]int
 	fresh           bool
 }
 
@@ -711,7 +710,7 @@
 		if m.addr == "" {
 			m.addr = it.Addr
 		}
-		m.listed, m.missing = n.now, time.Time{}
+		m.missing = time.Time{}
 		if it.State == protocol.Failed && !m.releasing {
 			// It has stopped on its own, which is proof; returning it takes it
 			// off the list.
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -45,7 +45,6 @@
 
 	preferred  string // zone last recorded as the better one for leaders
 	placeAsked bool
-	placeAt    *timer
 	stepDirect []*machine // machines with orders to send at the end of the step
 }
 
@@ -494,7 +493,6 @@
 	}
 	if s == protocol.Running {
 		a.job.running++
-		a.job.started++
 		if !a.inherited {
 			l.n.log.Debug("task runs", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name,
 				"placed", l.n.now.Sub(a.placed), "age", l.n.now.Round(0).Sub(a.job.submitted))
@@ -601,7 +599,9 @@
 		return
 	}
 	l.placeAsked = true
-	l.n.after(8*time.Millisecond, func() {
+	// The more jobs there are, the dearer a round is, and the more it can place.
+	delay := 8*time.Millisecond + time.Duration(len(l.order))*50*time.Microsecond
+	l.n.after(delay, func() {
 		if l.alive() {
 			l.placeAsked = false
 			l.place()
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -36,7 +36,6 @@
 	emptySince      time.Time
 	promised        usage // room that preemption frees for others
 	promisedMem     float64
-	promisedAt      time.Time
 	images          imageCache
 	wanted          map[string]int // images of the attempts on it
 
@@ -54,7 +53,6 @@
 	draining  bool // to be returned: takes nothing more
 	releasing bool // its release was asked for
 	releaseAt time.Time
-	listed    time.Time // when a list last showed it
 	missing   time.Time // since when lists that should show it don't
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -63,7 +63,7 @@
 	return len(j.waiting) + j.Tasks - j.next
 }
 
-// takeTask gives the next task to start; peek leaves it there.
+// peekTask gives the next task to start, takeTask takes it out.
 func (j *job) peekTask() int {
 	for len(j.waiting) > 0 {
 		i := j.waiting[0]
