--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -198,7 +198,6 @@
 type bin struct {
 	offer           offer
 	cpus, gpus, mem float64
-	fresh           bool
 }
 
 func (b *bin) take(j *job) bool {
@@ -211,8 +210,8 @@
 	return true
 }
 
-func newBin(o offer, fresh bool) *bin {
-	return &bin{offer: o, cpus: o.spec.CPUs, gpus: o.spec.GPUs, mem: o.spec.MemGB, fresh: fresh}
+func newBin(o offer) *bin {
+	return &bin{offer: o, cpus: o.spec.CPUs, gpus: o.spec.GPUs, mem: o.spec.MemGB}
 }
 
 // coming lists the room of machines that boot, leaving out those that are
@@ -224,7 +223,7 @@
 			continue
 		}
 		if l.n.now.Sub(m.rented) < m.spec.Boot*2+2*time.Second {
-			bins = append(bins, newBin(offer{m.spec, m.zone, m.spot}, false))
+			bins = append(bins, newBin(offer{m.spec, m.zone, m.spot}))
 		}
 	}
 	return bins
@@ -250,7 +249,7 @@
 			order = append(order, o)
 		}
 		need[o.key()]++
-		b := newBin(o, true)
+		b := newBin(o)
 		bins = append(bins, b)
 		return b
 	}
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -510,11 +510,10 @@
 	t.done = true
 	j.doneCount++
 	j.errors = 0
-	if k := slices.Index(j.waiting, i); k >= 0 {
-		j.waiting = slices.Delete(j.waiting, k, k+1)
-	}
 	if t.live != nil {
 		l.stopAttempt(t.live, 0)
+	} else if k := slices.Index(j.waiting, i); k >= 0 {
+		j.waiting = slices.Delete(j.waiting, k, k+1)
 	}
 	l.journal.touchLazy(j.chunk(i))
 	l.jobProgressed(j)
