Drawn troubles over the stand-in cluster; two failures found and repaired

A follower that found the state service away refused every user from then on: nothing it sent could tell it otherwise. It asks until it is answered.

--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -179,17 +179,8 @@
 			weights[j] = l.weight(j, wall)
 		}
 	}
-	rank := func(j *job) int {
-		switch {
-		case j.Priority == protocol.Critical:
-			return 0
-		case j.within:
-			return 1
-		}
-		return 2
-	}
 	slices.SortStableFunc(list, func(a, b *job) int {
-		if d := rank(a) - rank(b); d != 0 {
+		if d := a.rank() - b.rank(); d != 0 {
 			return d
 		}
 		if d := int(b.Priority) - int(a.Priority); d != 0 {
@@ -206,6 +197,17 @@
 	return list
 }
 
+// rank is a job's standing in the order of service.
+func (j *job) rank() int {
+	switch {
+	case j.Priority == protocol.Critical:
+		return 0
+	case j.within:
+		return 1
+	}
+	return 2
+}
+
 // underLimit reports whether one more task of the job stays within its team's
 // limit, which counts every attempt not proven gone.
 func (l *lead) underLimit(j *job) bool {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -71,7 +71,8 @@
 // does, and so does what another team runs beyond its own guarantee when the
 // job lies within its team's.
 func (l *lead) mayStop(a *attempt, j *job) bool {
-	if a.stop || a.job == j {
+	// What is served before the job would only take its place again.
+	if a.stop || a.job == j || a.job.rank() < j.rank() {
 		return false
 	}
 	if a.job.Priority < j.Priority {
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"brasskeel/internal/bookkeeping"
 	"brasskeel/internal/protocol"
 )
 
@@ -10,6 +11,9 @@
 // takes some hundred milliseconds.
 const storeTimeout = 1500 * time.Millisecond
 
+// storeProbe is the pause between attempts to reach it while it is down.
+const storeProbe = 300 * time.Millisecond
+
 // watchWait is how long a watch stays open without news.
 const watchWait = 8 * time.Second
 
@@ -26,7 +30,7 @@
 func (n *Node) storeWatch(prefix string, after uint64, done func(Outcome)) {
 	n.storeCost.Spend(n.now, 1)
 	n.call(State, "", "GET", protocol.WatchTarget(prefix, after, watchWait), nil, watchWait+4*time.Second, func(o Outcome) {
-		if o.Answered && o.Status == 503 {
+		if o.Answered {
 			n.noteStore(o)
 		}
 		done(o)
@@ -45,10 +49,23 @@
 	default:
 		if n.storeBad.IsZero() {
 			n.storeBad = n.now
+			n.after(storeProbe, n.askStore)
 		}
 	}
 }
 
+// askStore asks the state service until it answers again. While it is taken
+// for down users are refused without asking it, so that nothing else might ever
+// find out: a follower that sends no requests of its own stayed down for good.
+func (n *Node) askStore() {
+	if n.storeBad.IsZero() {
+		return
+	}
+	n.storeGet(bookkeeping.KeyTerm, func(protocol.Item, bool, bool) {
+		n.after(storeProbe, n.askStore)
+	})
+}
+
 // storeDown reports whether the state service has refused or ignored this
 // node for longer than a hiccup.
 func (n *Node) storeDown() bool {
--- /dev/null
+++ b/internal/standin/chaos_test.go
@@ -0,0 +1,204 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// TestChaos plays drawn troubles over drawn jobs, then heals everything: no
+// rule may be broken on the way, and in the end every job that was accepted and
+// not cancelled must be done, with nothing left running. CHAOS_SEEDS sets how
+// many days are played.
+func TestChaos(t *testing.T) {
+	days := 24
+	if s := os.Getenv("CHAOS_SEEDS"); s != "" {
+		days, _ = strconv.Atoi(s)
+	}
+	for seed := range days {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			chaos(t, uint64(seed))
+		})
+	}
+}
+
+func chaos(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 99))
+	zones := [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}}[rng.IntN(3)]
+	o := Options{Seed: seed, Nodes: 3, Zones: zones, Machines: 3 + rng.IntN(4), Capacity: 3 + rng.IntN(8)}
+	if os.Getenv("SCENARIO_LOG") != "" {
+		o.Log = os.Stderr
+	}
+	c := New(o)
+	c.copies = rng.IntN(2) == 0
+	c.Advance(3 * time.Second)
+	var accepted []string
+	count := 0
+	submit := func() {
+		count++
+		spec := protocol.Job{ID: fmt.Sprintf("run-%06d", count), Class: "class", Team: []string{"red", "blue"}[rng.IntN(2)],
+			Kind: protocol.Batch, Priority: protocol.Priority(1 + rng.IntN(4)), Tasks: 1 + rng.IntN(9), CPUs: float64(1 + rng.IntN(2)),
+			MemGB: 2, Image: fmt.Sprintf("img-%d", rng.IntN(4)), ImageGB: 0.5 + rng.Float64(), Spot: rng.IntN(2) == 0,
+			Spread: rng.IntN(5) == 0 && len(zones) > 1, OneZone: rng.IntN(5) == 0}
+		run := time.Duration(2+rng.IntN(25)) * time.Second
+		spec.Estimate = run
+		switch rng.IntN(6) {
+		case 0:
+			spec.Kind = protocol.Service
+		case 1:
+			spec.Checkpoint, spec.Save = 5*time.Second, 2*time.Second
+		}
+		id := spec.ID
+		c.Submit(rng.IntN(3), spec, run, rng.IntN(15) == 0, func(status int, _ string) {
+			if status == 200 || status == 201 {
+				accepted = append(accepted, id)
+			}
+		})
+	}
+	host := func() *host {
+		var up []*host
+		for _, h := range c.cloud.hosts {
+			if h.worker != nil && !h.worker.dead {
+				up = append(up, h)
+			}
+		}
+		if len(up) == 0 {
+			return nil
+		}
+		return up[rng.IntN(len(up))]
+	}
+	later := func(most int, f func()) {
+		c.after(time.Duration(500+rng.IntN(most*1000))*time.Millisecond, f)
+	}
+	for range 60 {
+		c.Advance(time.Duration(200+rng.IntN(5000)) * time.Millisecond)
+		for range rng.IntN(3) {
+			submit()
+		}
+		if len(accepted) > 0 && rng.IntN(4) == 0 {
+			c.CancelJob(rng.IntN(3), accepted[rng.IntN(len(accepted))], func(int, string) {})
+		}
+		if count > 0 {
+			c.Poll(rng.IntN(3), fmt.Sprintf("run-%06d", 1+rng.IntN(count)), func(int, string) {})
+		}
+		n := c.nodes[rng.IntN(3)]
+		switch rng.IntN(14) {
+		case 0, 1:
+			if i := c.Leader(); i >= 0 && rng.IntN(2) == 0 {
+				n = c.nodes[i]
+			}
+			if n.core != nil {
+				n.crash()
+				later(6, func() {
+					if n.core == nil {
+						n.start()
+					}
+				})
+			}
+		case 2:
+			c.state.setOutage(true)
+			later(30, func() { c.state.setOutage(false) })
+		case 3:
+			c.state.refused[n.name] = true
+			later(25, func() { delete(c.state.refused, n.name) })
+		case 4:
+			c.state.late = time.Duration(rng.IntN(4000)) * time.Millisecond
+			later(3, func() { c.state.late = 0 })
+		case 5:
+			c.cloud.outage = true
+			later(30, func() { c.cloud.outage = false })
+		case 6:
+			c.cloud.late = time.Duration(rng.IntN(9000)) * time.Millisecond
+			later(6, func() { c.cloud.late = 0 })
+		case 7, 8:
+			if h := host(); h != nil && !h.worker.hung {
+				w := h.worker
+				w.hang(true)
+				later(25, func() {
+					if !w.dead {
+						w.hang(false)
+					}
+				})
+			}
+		case 9:
+			if h := host(); h != nil {
+				c.cloud.fail(h)
+			}
+		case 10:
+			if h := host(); h != nil {
+				h.worker.notice = c.now.Add(10 * time.Second)
+				h.worker.change()
+				c.after(10*time.Second, func() { c.cloud.end(h) })
+			}
+		case 11:
+			if h := host(); h != nil {
+				c.Cut(n.name, h.name, rng.IntN(2) == 0)
+				later(15, c.Heal)
+			}
+		case 12:
+			p := c.nodes[rng.IntN(3)]
+			if p != n {
+				c.Cut(n.name, p.name, rng.IntN(2) == 0)
+			}
+			for _, h := range c.cloud.hosts {
+				if h.zone == n.zone && rng.IntN(2) == 0 {
+					c.Cut(n.name, h.name, true)
+				}
+			}
+			later(20, c.Heal)
+		case 13:
+			if h := host(); h != nil {
+				w := h.worker
+				w.sick = true
+				later(20, func() { w.sick = false })
+			}
+		}
+	}
+	// Everything heals, and services are cancelled.
+	c.Advance(45 * time.Second)
+	c.Heal()
+	c.state.setOutage(false)
+	clear(c.state.refused)
+	c.state.late, c.cloud.late, c.cloud.outage = 0, 0, false
+	for _, n := range c.nodes {
+		if n.core == nil {
+			n.start()
+		}
+	}
+	c.Advance(20 * time.Second)
+	// A submission whose answer was lost may have been accepted all the same.
+	for i := range count {
+		id := fmt.Sprintf("run-%06d", i+1)
+		if j := c.jobs[id]; j.spec.Kind == protocol.Service || j.bad {
+			c.CancelJob(0, id, func(status int, state string) {
+				if status != 200 && !(status == 404 && !j.accepted) {
+					t.Errorf("cancelling %s: %d %s", id, status, state)
+				}
+			})
+		}
+	}
+	c.Advance(10 * time.Minute)
+	for _, id := range accepted {
+		c.Poll(0, id, func(status int, text string) {
+			if status != 200 || !strings.HasPrefix(text, "done") && !strings.HasPrefix(text, "aborted") {
+				t.Errorf("%s in the end: %d %s", id, status, text)
+			}
+		})
+	}
+	c.Advance(10 * time.Second)
+	for id, j := range c.jobs {
+		if len(j.on) > 0 {
+			t.Errorf("%s still has %d tasks on machines", id, len(j.on))
+		}
+	}
+	for _, b := range c.Broken() {
+		t.Error(b)
+	}
+}
