--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -577,7 +577,8 @@
 		return
 	}
 	var silent []*machine
-	up, suspects := 0, 0
+	zones := map[string]*reach{}
+	lost, known := 0, 0
 	for _, m := range l.fleetList {
 		since := m.heard
 		if !m.up {
@@ -589,10 +590,22 @@
 		if l.deaf.After(since) {
 			since = l.deaf
 		}
-		up++
+		z := zones[m.zone]
+		if z == nil {
+			z = &reach{}
+			zones[m.zone] = z
+		}
 		d := n.now.Sub(since)
-		if d > l.suspectAfter() || m.probeFails > 0 {
-			suspects++
+		late := d > l.suspectAfter() || m.probeFails > 0
+		z.machines++
+		if late {
+			z.late++
+		}
+		if m.up {
+			known++
+			if late {
+				lost++
+			}
 		}
 		if d > probeAfter {
 			l.probe(m)
@@ -604,24 +617,33 @@
 	if len(silent) == 0 {
 		return
 	}
-	// Many at once speak for a cut between them and this node. Reports come at
-	// different times, so those that are only late by now count, too.
-	many := suspects > 2 && suspects*3 > up
 	for _, m := range silent {
 		if n.now.After(l.silentProof(m)) {
 			for _, a := range m.sorted() {
 				l.detach(a, "the worker's lease has ended")
 			}
 		}
-		if !many || n.now.Sub(m.heard) > n.cfg.WorkerLease && n.now.Sub(l.elected) > n.cfg.WorkerLease {
+		if !zones[m.zone].cut() || n.now.Sub(m.heard) > n.cfg.WorkerLease && n.now.Sub(l.elected) > n.cfg.WorkerLease {
 			l.release(m, "silent")
 		}
 	}
-	if many && suspects*2 > up && n.now.Sub(l.settled) > 2*time.Second && !n.storeDown() && len(n.cfg.Peers) > 0 && n.otherZone() {
+	// Only machines that this leader has heard count: when those are lost to it,
+	// a node in another zone may still reach them. Where it doesn't, it won't have
+	// heard them either and stays. Counting all, leaders of a cluster that had
+	// lost most machines for good handed over to one another without end.
+	if known > 2 && lost*2 > known && n.now.Sub(l.settled) > 2*time.Second && n.otherZone() {
 		n.resign("most machines are out of reach", 12*time.Second)
 	}
 }
 
+// reach is how many machines of a zone answer.
+type reach struct{ machines, late int }
+
+// cut reports whether the silence of a zone's machines speaks for a cut rather
+// than for their deaths: most of them are late at once. Reports come at different
+// times, so those that are only late by now count, too.
+func (r *reach) cut() bool { return r.late > 2 && r.late*5 > r.machines*3 }
+
 func (n *Node) otherZone() bool {
 	for i := range n.cfg.Peers {
 		if n.cfg.Peers[i].Zone != n.cfg.Zone {
