--- /dev/null
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -0,0 +1,73 @@
+package bookkeeping
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// A full chunk of live tasks stays within a value of the state service, with
+// long machine names and high attempt numbers.
+func TestChunkFitsValue(t *testing.T) {
+	for _, valueBytes := range []int{1 << 10, 4 << 10, 8 << 10, 64 << 10} {
+		size := ChunkSize(valueBytes)
+		c := Chunk{}
+		for i := range size {
+			c.Tasks = append(c.Tasks, TaskRecord{Offset: i, Attempt: math.MaxInt32, Machine: strings.Repeat("m", 24)})
+		}
+		if n := len(Encode(c)); n > valueBytes {
+			t.Errorf("%d tasks take %d of %d bytes", size, n, valueBytes)
+		}
+	}
+}
+
+func TestChunkDone(t *testing.T) {
+	done := []bool{true, false, false, true, false, false, false, false, false, true}
+	var c Chunk
+	c.SetDone(done)
+	got, err := c.IsDone(len(done))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range done {
+		if got[i] != done[i] {
+			t.Errorf("task %d: done %t, want %t", i, got[i], done[i])
+		}
+	}
+	if job, chunk, ok := ParseChunkKey(KeyChunk("run-000001", 17)); !ok || job != "run-000001" || chunk != 17 {
+		t.Errorf("key: %s, %d, %t", job, chunk, ok)
+	}
+}
+
+func TestOutcome(t *testing.T) {
+	for _, s := range []protocol.JobState{protocol.Done, protocol.Cancelled} {
+		if got, done, err := DecodeOutcome(EncodeOutcome(s, 7)); err != nil || got != s || done != 7 {
+			t.Errorf("%s: %s, %d, %v", s, got, done, err)
+		}
+	}
+	if _, _, err := DecodeOutcome([]byte(`{"state":"lost"}`)); err == nil {
+		t.Error("an unknown outcome is taken")
+	}
+}
+
+func TestBudget(t *testing.T) {
+	now := time.Date(2026, 9, 21, 12, 0, 0, 0, time.UTC)
+	b := NewBudget(10, 5, now)
+	if !b.Take(now, 5) || b.Take(now, 1) {
+		t.Error("the burst is not five")
+	}
+	if w := b.Wait(now, 2); w != 200*time.Millisecond {
+		t.Errorf("two units after %s", w)
+	}
+	now = now.Add(time.Minute)
+	if got := b.Available(now); got != 5 {
+		t.Errorf("after a minute %g units", got)
+	}
+	b.Spend(now, 8)
+	if b.Take(now.Add(300*time.Millisecond), 1) {
+		t.Error("a debt is forgotten")
+	}
+}
