--- a/cmd/brasskeel/control.go
+++ b/cmd/brasskeel/control.go
@@ -108,7 +108,7 @@
 		id := k.ID
 		c.loop.Call(addr, k.Method, k.Target, k.Body, k.Timeout, func(status int, body []byte, err error) {
 			c.apply(c.node.Result(time.Now(), id, coordination.Outcome{Status: status, Body: body,
-				Answered: err == nil, NotSent: errors.Is(err, transport.ErrNotSent)}))
+				Answered: err == nil, NotSent: errors.Is(err, transport.ErrNotSent), Busy: errors.Is(err, transport.ErrBusy)}))
 		})
 	}
 	for i := range e.Publishes {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -665,6 +665,9 @@
 			return
 		}
 		m.probing = false
+		if o.Busy {
+			return // nobody was asked
+		}
 		m.probeFails++
 		if !o.Answered || o.Status != 200 || m.removed {
 			return
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -56,12 +56,14 @@
 
 // Outcome is what came of a call. Answered is false when no response came:
 // the request may or may not have been carried out, now or later, unless
-// NotSent says that it never left.
+// NotSent says that it never left. Busy says that it didn't for want of
+// sockets here, which tells nothing of the other side.
 type Outcome struct {
 	Status   int
 	Body     []byte
 	Answered bool
 	NotSent  bool
+	Busy     bool
 }
 
 // drift bounds by how much steady clocks of two machines differ over a time:
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -19,6 +19,9 @@
 	ErrTimeout = errors.New("transport: no response in time")
 	ErrClosed  = errors.New("transport: connection closed before the response")
 	ErrNotSent = errors.New("transport: the request was not sent")
+	// ErrBusy says that the call ended while it waited for a socket: nobody was
+	// asked, so it tells nothing of the other side.
+	ErrBusy = fmt.Errorf("%w: no socket was free", ErrNotSent)
 )
 
 // Time and number limits of connections.
@@ -30,6 +33,15 @@
 	sweepInterval  = time.Second
 )
 
+// Shares of the sockets, in percent. Every worker holds one accepted connection
+// and, while it has work, one of ours; the rest is left for the controllers'
+// own streams.
+const (
+	acceptedShare = 54
+	outgoingShare = 40
+	storeShare    = 4 // more of ours, for the state service alone
+)
+
 // Handler receives what arrives. All its methods run on the event loop.
 type Handler interface {
 	// Ready runs once, before anything else.
@@ -42,14 +54,14 @@
 // whatever else is posted to it, so that the state behind Handler needs no lock.
 type Loop struct {
 	gnet.BuiltinEventEngine
-	addr     string
-	handler  Handler
-	log      *slog.Logger
-	eng      gnet.Engine
-	wakeAddr string
-	once     sync.Once
-	start    sync.Mutex
-	el       gnet.EventLoop
+	addr    string
+	store   string // its calls wait for no other's
+	handler Handler
+	log     *slog.Logger
+	eng     gnet.Engine
+	once    sync.Once
+	start   sync.Mutex
+	el      gnet.EventLoop
 
 	maxConns int
 	nextID   uint64
@@ -88,15 +100,17 @@
 	deadline             time.Time
 	timer                *time.Timer
 	conn                 *outgoing
+	dialled              bool
 	done                 func(status int, body []byte, err error)
 }
 
-// NewLoop prepares a loop that will listen on addr. wakeAddr is a service
-// dialled at the start, since the loop can take work only once it has had a
-// connection. At most maxConns sockets are open at a time.
-func NewLoop(addr, wakeAddr string, maxConns int, handler Handler, log *slog.Logger) *Loop {
+// NewLoop prepares a loop that will listen on addr. store is the state service:
+// it is dialled at the start, since the loop can take work only once it has had a
+// connection, and calls of it don't queue behind others. At most maxConns sockets
+// are open at a time.
+func NewLoop(addr, store string, maxConns int, handler Handler, log *slog.Logger) *Loop {
 	return &Loop{
-		addr: addr, wakeAddr: wakeAddr, handler: handler, log: log, maxConns: maxConns,
+		addr: addr, store: store, handler: handler, log: log, maxConns: maxConns,
 		accepted: map[*served]struct{}{}, pending: map[uint64]*served{}, idle: map[string][]*outgoing{},
 	}
 }
@@ -133,9 +147,9 @@
 // wake makes a first connection so that the loop becomes known.
 func (l *Loop) wake() {
 	for {
-		c, err := net.DialTimeout("tcp", l.wakeAddr, dialTimeout)
+		c, err := net.DialTimeout("tcp", l.store, dialTimeout)
 		if err == nil {
-			o := &outgoing{addr: l.wakeAddr, used: time.Now()}
+			o := &outgoing{addr: l.store, used: time.Now()}
 			if _, err = l.eng.Register(gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), o)); err == nil {
 				return
 			}
@@ -186,9 +200,7 @@
 	s := &served{conn: c, active: time.Now()}
 	c.SetContext(s)
 	l.accepted[s] = struct{}{}
-	// Outgoing connections keep a quarter of the sockets: without the state
-	// service no request can be answered anyway.
-	if len(l.accepted) > l.maxConns*3/4 {
+	if len(l.accepted) > l.maxConns*acceptedShare/100 {
 		l.shedOldest()
 	}
 	return nil, gnet.None
@@ -230,13 +242,7 @@
 				l.finish(s.call, 0, nil, ErrClosed)
 			}
 		} else {
-			list := l.idle[s.addr]
-			for i, o := range list {
-				if o == s {
-					l.idle[s.addr] = append(list[:i], list[i+1:]...)
-					break
-				}
-			}
+			l.dropIdle(s)
 		}
 		l.dialNext()
 	}
@@ -331,7 +337,7 @@
 	c.timer = l.After(timeout, func() { l.expire(c) })
 	if list := l.idle[addr]; len(list) > 0 {
 		o := list[len(list)-1]
-		l.idle[addr] = list[:len(list)-1]
+		l.dropIdle(o)
 		o.call, c.conn = c, o
 		l.send(o, c)
 		return
@@ -340,15 +346,63 @@
 	l.dialNext()
 }
 
+// dialNext dials for the calls that wait, the state service's first. Without
+// that, silent machines, whose dials hang, would hold up what every answer to
+// users depends on.
 func (l *Loop) dialNext() {
-	for len(l.waiting) > 0 && l.dials < maxDialsAtOnce && l.outgoing+l.dials < l.maxConns/4 {
-		c := l.waiting[0]
-		l.waiting = l.waiting[1:]
-		if c.done == nil {
-			continue
+	keep := l.waiting[:0]
+	for _, c := range l.waiting {
+		switch {
+		case c.done == nil: // given up
+		case c.addr == l.store && l.outgoing+l.dials < l.maxConns*(outgoingShare+storeShare)/100,
+			l.dials < maxDialsAtOnce && l.haveRoom():
+			l.dials++
+			c.dialled = true
+			go l.dial(c)
+		default:
+			keep = append(keep, c)
 		}
-		l.dials++
-		go l.dial(c)
+	}
+	clear(l.waiting[len(keep):])
+	l.waiting = keep
+}
+
+// haveRoom reports whether one more connection of ours may be opened, and makes
+// room by closing the one that has been unused for longest. With more machines
+// than sockets, those that had an order a while ago would otherwise keep all
+// others from being reached, and those would be taken for dead.
+func (l *Loop) haveRoom() bool {
+	limit := l.maxConns * outgoingShare / 100
+	if l.outgoing+l.dials < limit {
+		return true
+	}
+	var oldest *outgoing
+	for _, list := range l.idle {
+		// The first of a list was released first.
+		if o := list[0]; oldest == nil || o.used.Before(oldest.used) {
+			oldest = o
+		}
+	}
+	if oldest != nil {
+		l.dropIdle(oldest)
+		_ = oldest.conn.Close()
+	}
+	return l.outgoing+l.dials < limit
+}
+
+// dropIdle takes a connection out of those that wait for a call.
+func (l *Loop) dropIdle(o *outgoing) {
+	list := l.idle[o.addr]
+	for i, k := range list {
+		if k == o {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(l.idle, o.addr)
+	} else {
+		l.idle[o.addr] = list
 	}
 }
 
@@ -435,6 +489,10 @@
 		}
 		return
 	}
+	if !c.dialled {
+		l.finish(c, 0, nil, ErrBusy)
+		return
+	}
 	l.finish(c, 0, nil, ErrNotSent)
 }
 
--- a/internal/transport/loop_test.go
+++ b/internal/transport/loop_test.go
@@ -116,6 +116,29 @@
 	}
 }
 
+// TestMoreHostsThanSockets calls more hosts than the loop may hold connections
+// to. The unused ones give way: without that, calls to whoever came later
+// waited in vain, and a controller took live machines for dead.
+func TestMoreHostsThanSockets(t *testing.T) {
+	e, _ := startLoop()
+	for i := range 2 * e.loop.maxConns * outgoingShare / 100 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "hello") })}
+		go func() { _ = server.Serve(ln) }()
+		t.Cleanup(func() { server.Close() })
+		out := make(chan error, 1)
+		e.loop.Post(func() {
+			e.loop.Call(ln.Addr().String(), "GET", "/", nil, 5*time.Second, func(_ int, _ []byte, err error) { out <- err })
+		})
+		if err := <-out; err != nil {
+			t.Fatalf("host %d: %v", i, err)
+		}
+	}
+}
+
 // TestPeers checks that what one controller publishes reaches the other over
 // an HTTP/2 stream, also what it said before the other came.
 func TestPeers(t *testing.T) {
