--- a/cmd/brasskeel/control.go
+++ b/cmd/brasskeel/control.go
@@ -94,7 +94,7 @@
 func (c *control) apply(e coordination.Effects) {
 	for i := range e.Replies {
 		r := &e.Replies[i]
-		c.loop.Reply(r.ID, r.Status, r.RetryAfter, r.Body)
+		c.loop.Reply(r.ID, r.Status, r.RetryAfter, r.Body, r.Close)
 	}
 	for i := range e.Calls {
 		k := &e.Calls[i]
--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -99,16 +99,26 @@
 	}
 }
 
-// health is honest about the one case in which another node serves users and
-// this one can't: the state service refuses it while peers still reach it.
+// health is honest about the cases in which other nodes may serve users and this
+// one can't: the state service refuses it while a peer still reaches it, or it is
+// cut off from both. In an outage that peers confirm, no node is better than
+// another, and leaving the balancer would only cost time when it ends.
 func (n *Node) health(id uint64) {
-	if n.storeDown() && n.peerReachesStore() {
+	if n.storeDown() && len(n.cfg.Peers) > 0 && (n.peerReachesStore() || !n.hearsPeer()) {
 		n.refuse(id, 503, "the state service refuses this node")
 		return
 	}
 	n.reply(id, 200, []byte(`{"ok":true}`))
 }
 
+// refuseWithoutStore refuses what needs the state service. The connection is
+// closed: its user would go on asking this node, perhaps the only one that is cut
+// off, while a new connection may lead to another.
+func (n *Node) refuseWithoutStore(id uint64) {
+	n.out.Replies = append(n.out.Replies, Reply{ID: id, Status: 503, RetryAfter: 1, Close: true,
+		Body: protocol.ErrorAnswer("the state service does not answer")})
+}
+
 func (n *Node) submit(id uint64, body []byte) {
 	job, err := protocol.ParseJob(body)
 	if err != nil {
@@ -130,7 +140,7 @@
 			n.admission.waiting--
 			switch {
 			case !ok:
-				n.refuse(id, 503, "the state service does not answer")
+				n.refuseWithoutStore(id)
 			case s == 0:
 				n.reply(id, 422, protocol.ErrorAnswer(reason))
 			default:
@@ -165,13 +175,13 @@
 			n.lookup(job.ID, func(s protocol.JobState, ok bool) {
 				n.admission.waiting--
 				if !ok || s == 0 {
-					n.refuse(id, 503, "the state service does not answer")
+					n.refuseWithoutStore(id)
 					return
 				}
 				n.reply(id, 200, protocol.JobAnswer(job.ID, s))
 			})
 		default:
-			n.refuse(id, 503, "the state service does not answer")
+			n.refuseWithoutStore(id)
 		}
 	})
 }
@@ -246,7 +256,7 @@
 	// Anything but a final state may have been overtaken at another node, so
 	// it needs a fresh read; without one there is no answer.
 	if n.storeDown() {
-		n.refuse(id, 503, "the state service does not answer")
+		n.refuseWithoutStore(id)
 		return
 	}
 	n.admission.waiting++
@@ -259,7 +269,7 @@
 		n.admission.waiting--
 		switch {
 		case !ok:
-			n.refuse(id, 503, "the state service does not answer")
+			n.refuseWithoutStore(id)
 		case s == 0:
 			n.reply(id, 404, protocol.ErrorAnswer("no such job"))
 		default:
@@ -303,13 +313,13 @@
 		for _, p := range batch {
 			switch {
 			case r != txnApplied && r != txnFailed:
-				n.refuse(p.id, 503, "the state service does not answer")
+				n.refuseWithoutStore(p.id)
 			case over[bookkeeping.KeyOutcome(p.job)]:
 				a.waiting++
 				n.lookup(p.job, func(s protocol.JobState, ok bool) {
 					a.waiting--
 					if !ok || s == 0 {
-						n.refuse(p.id, 503, "the state service does not answer")
+						n.refuseWithoutStore(p.id)
 						return
 					}
 					n.answerPoll(p.id, p.job)
@@ -333,7 +343,7 @@
 		return
 	}
 	if n.storeDown() {
-		n.refuse(id, 503, "the state service does not answer")
+		n.refuseWithoutStore(id)
 		return
 	}
 	n.admission.waiting++
@@ -341,7 +351,7 @@
 		n.admission.waiting--
 		switch {
 		case !ok || s != 0 && !s.Final():
-			n.refuse(id, 503, "the state service does not answer")
+			n.refuseWithoutStore(id)
 		case s == 0:
 			n.reply(id, 404, protocol.ErrorAnswer("no such job"))
 		default:
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -18,6 +18,11 @@
 	active
 )
 
+// askAfter is how long a new leader lets workers come by themselves before it
+// asks them. They find it when their next report is due, or later; those that an
+// earlier leader without the state service still answers come only after its grace.
+const askAfter = 300 * time.Millisecond
+
 // lead is what a leader keeps in memory. All of it is rebuilt from the state
 // service and from reports by the next one.
 type lead struct {
@@ -27,6 +32,8 @@
 	lease      uint64
 	validUntil time.Time // until when no one else can have been elected
 	deaf       time.Time // last time that silence of workers said nothing
+	watched    time.Time // when the machines were last looked at
+	loadedAt   time.Time // when the records were read
 	muted      bool      // the grace beyond that is over, too
 	elected    time.Time
 	phase      phase
@@ -113,10 +120,11 @@
 
 	// How its start went out. A start in a report's answer is executed before
 	// the worker's next report or never; a direct one may be executed late.
-	sentSession uint64
-	sentSeq     uint64 // of the report whose answer carried it
-	direct      bool   // a direct start awaits its response
-	directToken uint64 // of an unanswered direct start; 0 when none
+	sentSession   uint64
+	sentSeq       uint64 // of the report whose answer carried it
+	direct        bool   // a direct start awaits its response
+	directToken   uint64 // of an unanswered direct start; 0 when none
+	directSession uint64 // that it named
 
 	stop     bool
 	grace    time.Duration
@@ -142,7 +150,7 @@
 	n.publish()
 	l.renew()
 	l.load()
-	l.every(250*time.Millisecond, l.watchMachines)
+	l.every(watchInterval, l.watchMachines)
 	l.every(time.Second, l.fleetStep)
 }
 
@@ -177,12 +185,13 @@
 func (l *lead) silentProof(m *machine) time.Time {
 	c := l.n.cfg
 	last := l.elected.Add(l.grace())
-	if m.answered.After(last) {
-		last = m.answered
-	} else if m.heardToken {
-		// It has seen our token, so no earlier leader's answer counts.
-		last = m.answered
+	if !m.tookOver.IsZero() {
+		// It has seen our token and takes no other's answer any more. Until then an
+		// earlier leader's may have renewed its lease: a token that came with a
+		// direct command says nothing of when that was.
+		last = m.tookOver
 	}
+	last = latest(last, m.answered)
 	return last.Add(c.WorkerLease + drift(c.WorkerLease) + proofMargin)
 }
 
@@ -211,7 +220,7 @@
 
 func (l *lead) loaded() {
 	n := l.n
-	l.phase = settling
+	l.phase, l.loadedAt = settling, n.now
 	// The longest interval between reports, and the second that a worker takes
 	// to try the next node.
 	wait := n.cfg.ReportInterval*5/4 + 1200*time.Millisecond
@@ -230,6 +239,7 @@
 		l.jobProgressed(j)
 	}
 	n.log.Info("records loaded", "term", l.term, "jobs", len(l.order), "machines", len(l.machines), "attempts", live)
+	l.listMachines() // it has the addresses of those that are to be asked
 	n.after(l.settled.Sub(n.now), l.activate)
 }
 
@@ -254,7 +264,7 @@
 	for _, m := range l.fleetList {
 		// One that only a lagging list tells of may be gone already.
 		booted := m.inherited && (m.spec == nil || l.n.now.Sub(m.rented) > 2*m.spec.Boot)
-		if !m.reconciled && (len(m.attempts) > 0 || booted) {
+		if (!m.reconciled || m.reached.IsZero()) && (len(m.attempts) > 0 || booted) {
 			return false
 		}
 	}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -26,9 +26,17 @@
 	seq        uint64
 	token      uint64    // highest it has seen
 	reconciled bool      // its tasks were compared with the records
-	heardToken bool      // it has seen one of this term's
+	tookOver   time.Time // when it was first heard with a token of this term
 	heard      time.Time // last sign of life
 	answered   time.Time // last time a report of it was answered
+	reportSeq  uint64    // highest of a report of this session, responses aside
+	// Reports may arrive while answers and commands don't reach the worker, and a
+	// report may be a late copy. Neither is a sign that the machine is of use to us:
+	// that takes a response to a call, or a report with a token we raised.
+	reached    time.Time // last proof that something of ours arrived; zero: none yet
+	firstHeard time.Time
+	tokenSince time.Time // since when answers carry the machine's present token
+	tokenSeen  bool      // a report has shown it
 	noticeAt   time.Time // when the cloud takes it; zero without notice
 
 	attempts        map[taskKey]*attempt
@@ -99,11 +107,13 @@
 // machineToken is the token for one worker.
 func (l *lead) machineToken(m *machine) uint64 { return l.token() | uint64(m.fence) }
 
-// raiseFence makes the worker's token exceed one under which a direct start
-// went out. The fence never wraps: a lower token would be ignored.
+// raiseFence makes the worker's token exceed one that it may have seen: that of
+// a direct start, or its present one, when only a report with a new token can tell
+// whether answers reach it. The fence never wraps: a lower token would be ignored.
 func (l *lead) raiseFence(m *machine, above uint64) {
 	if l.machineToken(m) <= above && m.fence < 1<<16-1 {
 		m.fence++
+		m.tokenSince, m.tokenSeen = l.n.now, false
 	}
 }
 
@@ -126,22 +136,27 @@
 		n.reply(id, 421, protocol.Redirect(""))
 		return
 	}
-	if at, ok := l.gone[r.Machine]; ok && l.machines[r.Machine] == nil {
-		if n.now.Sub(at) < time.Minute {
-			n.reply(id, 503, protocol.ErrorAnswer("the machine was returned"))
-			return
-		}
-		delete(l.gone, r.Machine)
+	if _, ok := l.gone[r.Machine]; ok && l.machines[r.Machine] == nil {
+		// Proven gone, and names are not used again: a copy that comes late,
+		// however much, brings no machine back.
+		n.reply(id, 503, protocol.ErrorAnswer("the machine was returned"))
+		return
 	}
 	m := l.machines[r.Machine]
 	if m == nil {
 		m = l.adopt(r.Machine, r.Type, r.Zone, r.Spot, 0)
 	}
-	if m.up && (r.Session < m.session || r.Session == m.session && r.Seq <= m.seq) {
-		// Late or repeated, or overtaken by a response of the worker's. It
-		// tells nothing new, and orders in its answer would be judged by the
-		// wrong list of tasks. But the answer renews the lease all the same.
-		m.answered = n.now
+	if m.up && (r.Session < m.session || r.Session == m.session && r.Seq <= m.reportSeq) {
+		// A copy, or a report that was held up: a worker has one report in flight,
+		// so it has given this one up, and no answer of it can renew the lease.
+		n.reply(id, 503, protocol.ErrorAnswer("a newer report came before"))
+		return
+	}
+	if m.up && r.Session == m.session && r.Seq <= m.seq {
+		// Overtaken by a response of the worker's. It tells nothing new, and orders
+		// in its answer would be judged by the wrong list of tasks. But the answer
+		// renews the lease all the same.
+		m.answered, m.reportSeq = n.now, r.Seq
 		n.reply(id, 200, protocol.ReportAnswer(l.machineToken(m), nil))
 		return
 	}
@@ -163,6 +178,7 @@
 		if m.zone != r.Zone || m.typ != r.Type || m.spot != r.Spot {
 			m.zone, m.typ, m.spot = r.Zone, r.Type, r.Spot
 		}
+		m.firstHeard = n.now
 		n.log.Debug("machine reports", "machine", m.name, "type", m.typ, "zone", m.zone, "session", r.Session)
 		l.askPlace()
 	}
@@ -174,10 +190,29 @@
 	if r.Addr != "" {
 		m.addr = r.Addr
 	}
-	m.heardToken = m.heardToken || r.Token >= l.token()
-	m.missing, m.probeFails = time.Time{}, 0
+	if m.tookOver.IsZero() && r.Token >= l.token() {
+		m.tookOver = n.now
+	}
+	m.missing = time.Time{}
 	if newSession {
 		m.images.reset()
+		m.reportSeq = 0
+	}
+	switch {
+	case !reported:
+		l.reached(m, n.now)
+	case !m.tokenSeen && !m.tokenSince.IsZero() && r.Token >= l.machineToken(m):
+		m.tokenSeen = true
+		l.reached(m, m.tokenSince)
+	}
+	if reported {
+		m.reportSeq = r.Seq
+		if m.tokenSince.IsZero() { // its answer is the first of this leader's
+			m.tokenSince = n.now
+		}
+		if m.reached.IsZero() {
+			l.probe(m)
+		}
 	}
 	if r.HasNotice && m.noticeAt.IsZero() {
 		m.noticeAt = n.now.Add(r.Notice)
@@ -192,13 +227,7 @@
 	}
 	if !m.reconciled {
 		m.reconciled = true
-		if l.phase == settling {
-			l.n.after(10*time.Millisecond, func() {
-				if l.alive() && l.phase == settling && l.allHeard() {
-					l.activate()
-				}
-			})
-		}
+		l.checkHeard()
 	}
 	var orders []protocol.Order
 	present := make(map[*attempt]struct{}, len(r.Tasks))
@@ -269,6 +298,30 @@
 	return orders
 }
 
+// reached notes that something of ours arrived at the worker, at or after at.
+func (l *lead) reached(m *machine, at time.Time) {
+	m.probeFails = 0
+	if m.reached.IsZero() {
+		l.askPlace()
+		l.checkHeard()
+	}
+	if at.After(m.reached) {
+		m.reached = at
+	}
+}
+
+// checkHeard ends the new leader's wait once nobody is left to be heard.
+func (l *lead) checkHeard() {
+	if l.phase != settling {
+		return
+	}
+	l.n.after(10*time.Millisecond, func() {
+		if l.alive() && l.phase == settling && l.allHeard() {
+			l.activate()
+		}
+	})
+}
+
 func compareAttempts(a, b *attempt) int {
 	if a.job != b.job {
 		if a.job.ID < b.job.ID {
@@ -309,6 +362,11 @@
 		return none, false
 	case a.direct:
 		return none, false // its response is on the way
+	case a.directToken != 0 && r.Session > a.directSession:
+		// Refused from now on, however late it comes: it names a session that is
+		// over. Where answers don't reach the worker this proof comes alone.
+		l.detach(a, "the worker's lease expired")
+		return none, false
 	case a.directToken != 0:
 		// Unanswered: it may be carried out minutes later, until the worker
 		// has seen a higher token.
@@ -480,7 +538,7 @@
 	token, session := l.machineToken(m), m.session
 	for _, a := range starts {
 		a.direct = true
-		a.directToken = token
+		a.directToken, a.directSession = token, session
 	}
 	if len(starts) > 0 {
 		m.directToken = token
@@ -563,14 +621,35 @@
 	giveUpAfter = 3500 * time.Millisecond
 )
 
+// A machine that nothing of ours was seen to reach for this long is asked, and
+// given up when that fails for longer still, although its reports arrive.
+func (l *lead) reachAfter() time.Duration { return 2*l.n.cfg.ReportInterval + time.Second }
+func (l *lead) deafAfter() time.Duration  { return 3*l.n.cfg.ReportInterval + 4*time.Second }
+
+const (
+	watchInterval = 250 * time.Millisecond
+	// Reports wait unread while the process does nothing, and then all machines
+	// seem silent.
+	stallAfter = time.Second
+)
+
 // watchMachines looks for machines that have fallen silent. Silence proves
 // nothing; releasing the machine does, and takes a moment.
 func (l *lead) watchMachines() {
 	n := l.n
+	stalled := n.now.Sub(l.watched) > stallAfter
+	l.watched = n.now
+	if l.phase == settling && n.now.Sub(l.loadedAt) > askAfter {
+		for _, m := range l.fleetList {
+			if !m.up && m.inherited {
+				l.probe(m)
+			}
+		}
+	}
 	if l.phase != active {
 		return
 	}
-	if n.storeDown() || !l.entitled() {
+	if stalled || n.storeDown() || !l.entitled() {
 		// Nothing could be moved now, and workers that got no answer from this
 		// node look for another: their silence counts anew from here.
 		l.deaf = n.now
@@ -596,6 +675,10 @@
 			zones[m.zone] = z
 		}
 		d := n.now.Sub(since)
+		out := time.Duration(0) // how long nothing of ours was seen to arrive
+		if m.up {
+			out = n.now.Sub(latest(m.reached, m.firstHeard, l.deaf))
+		}
 		late := d > l.suspectAfter() || m.probeFails > 0
 		z.machines++
 		if late {
@@ -603,14 +686,14 @@
 		}
 		if m.up {
 			known++
-			if late {
+			if m.probeFails >= 2 {
 				lost++
 			}
 		}
-		if d > probeAfter {
+		if d > probeAfter || out > l.reachAfter() || m.probeFails > 0 {
 			l.probe(m)
 		}
-		if d > l.releaseAfter() || d > giveUpAfter && m.probeFails >= 3 {
+		if d > l.releaseAfter() || d > giveUpAfter && m.probeFails >= 3 || out > l.deafAfter() && m.probeFails >= 4 {
 			silent = append(silent, m)
 		}
 	}
@@ -623,19 +706,23 @@
 				l.detach(a, "the worker's lease has ended")
 			}
 		}
-		if !zones[m.zone].cut() || n.now.Sub(m.heard) > n.cfg.WorkerLease && n.now.Sub(l.elected) > n.cfg.WorkerLease {
+		if !zones[m.zone].cut() || n.now.Sub(latest(m.reached, m.firstHeard)) > n.cfg.WorkerLease && n.now.Sub(l.elected) > n.cfg.WorkerLease {
 			l.release(m, "silent")
 		}
 	}
 	// Only machines that this leader has heard count: when those are lost to it,
-	// a node in another zone may still reach them. Where it doesn't, it won't have
+	// another node may still reach them. Where it doesn't, it won't have
 	// heard them either and stays. Counting all, leaders of a cluster that had
 	// lost most machines for good handed over to one another without end.
-	if known > 2 && lost*2 > known && n.now.Sub(l.settled) > 2*time.Second && n.otherZone() {
-		n.resign("most machines are out of reach", 12*time.Second)
+	if known > 2 && lost*2 > known && n.now.Sub(l.settled) > 2*time.Second && len(n.cfg.Peers) > 0 {
+		n.resign("most machines are out of reach", 3*time.Second)
 	}
 }
 
+func latest(times ...time.Time) time.Time {
+	return slices.MaxFunc(times, time.Time.Compare)
+}
+
 // reach is how many machines of a zone answer.
 type reach struct{ machines, late int }
 
@@ -653,10 +740,10 @@
 	return false
 }
 
-// probe asks a silent worker for its state: it may be reporting to another
-// node, or its reports may be lost.
+// probe asks a worker for its state: it may be reporting to another node, its
+// reports may be lost, or nothing of ours may reach it.
 func (l *lead) probe(m *machine) {
-	if m.probing || m.addr == "" || m.releasing {
+	if m.probing || m.addr == "" || m.releasing || m.removed {
 		return
 	}
 	m.probing = true
@@ -665,23 +752,64 @@
 			return
 		}
 		m.probing = false
-		if o.Busy {
+		if o.Busy || m.removed {
 			return // nobody was asked
 		}
-		m.probeFails++
-		if !o.Answered || o.Status != 200 || m.removed {
-			return
-		}
-		r, err := protocol.ParseReport(o.Body)
-		if err != nil || r.Machine != m.name {
-			return
+		var r *protocol.Report
+		if o.Answered && o.Status == 200 {
+			r, _ = protocol.ParseReport(o.Body)
 		}
-		if r.Session > m.session || r.Session == m.session && r.Seq > m.seq {
+		switch {
+		case r == nil || r.Machine != m.name:
+			m.probeFails++
+			// Perhaps only calls fail. A token that the worker hasn't seen yet tells,
+			// when a report shows it, whether answers to its reports arrive.
+			if m.up && m.token >= l.machineToken(m) {
+				l.raiseFence(m, m.token)
+			}
+		case r.Session < m.session:
+			// This answer is fresh, so the worker has lost what it knew: it was
+			// started anew and counts from the beginning.
+			l.n.log.Warn("worker began anew", "machine", m.name, "session", r.Session, "before", m.session)
+			l.drainLost(m)
+		case r.Session > m.session || r.Seq > m.seq:
 			l.takeReport(m, r, false)
+			l.claim(m)
+		default:
+			l.reached(m, l.n.now) // overtaken by a report of the worker's
 		}
 	})
 }
 
+// claim lets a worker see this leader's token at once, although it reports to
+// another node: an earlier leader that lost the state service may still answer it,
+// and would hold it until its grace ends.
+func (l *lead) claim(m *machine) {
+	if !m.tookOver.IsZero() || m.directBusy || l.phase == loading {
+		return
+	}
+	m.directBusy = true
+	l.n.call(Worker, m.addr, "POST", protocol.PathOrders, protocol.DirectOrders(l.machineToken(m), m.session, nil), time.Second,
+		func(o Outcome) {
+			if !l.alive() {
+				return
+			}
+			m.directBusy = false
+			if r, err := protocol.ParseReport(o.Body); o.Answered && o.Status == 200 && err == nil && r.Machine == m.name &&
+				!m.removed && (r.Session > m.session || r.Session == m.session && r.Seq > m.seq) {
+				l.takeReport(m, r, false)
+			}
+			l.sendDirect(m)
+		})
+}
+
+// drainLost returns a machine whose worker lost its memory: its sessions and
+// numbers say no more which of its messages is the newer one.
+func (l *lead) drainLost(m *machine) {
+	m.draining = true
+	l.release(m, "its worker began anew")
+}
+
 func (m *machine) cacheGB() float64 {
 	if m.spec == nil {
 		return 0
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -88,7 +88,7 @@
 	var list []*machine
 	for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
 		m := l.newMachine(name, "small", "a", false)
-		m.up, m.recorded, m.heard = true, true, l.n.now
+		m.up, m.recorded, m.heard, m.reached = true, true, l.n.now, l.n.now
 		list = append(list, m)
 	}
 	list[0].cpus, list[1].cpus, list[2].cpus = 2, 0, 1
@@ -136,3 +136,57 @@
 		t.Errorf("with a bias: %g and %g", a, b)
 	}
 }
+
+// What a worker says in its reports, in order of arrival: only newer ones count,
+// copies that come late renew and prove nothing.
+func TestLateReports(t *testing.T) {
+	n, l := leading(active)
+	id := uint64(0)
+	report := func(session, seq, token uint64) Reply {
+		id++
+		body := protocol.EncodeReport(&protocol.Report{Machine: "vm-1", Addr: "vm-1", Type: "small", Zone: "a",
+			Session: session, Seq: seq, Token: token})
+		e := n.Request(n.now.Add(time.Second), id, "POST", protocol.PathReport, body)
+		for _, r := range e.Replies {
+			if r.ID == id {
+				return r
+			}
+		}
+		t.Fatalf("report %d/%d is not answered", session, seq)
+		return Reply{}
+	}
+	if r := report(1, 10, 0); r.Status != 200 {
+		t.Fatalf("the first report: %d", r.Status)
+	}
+	m := l.machines["vm-1"]
+	m.recorded, m.spec = true, &protocol.MachineType{Name: "small", CPUs: 4, MemGB: 16}
+	if l.open(m) {
+		t.Error("a report alone, perhaps a late copy, opens a machine for work")
+	}
+	if !m.probing {
+		t.Error("a machine that reports for the first time isn't asked")
+	}
+	if report(1, 11, l.machineToken(m)); !l.open(m) {
+		t.Error("a report that shows our token doesn't open the machine")
+	}
+	answered, heard := m.answered, m.heard
+	if r := report(1, 11, 0); r.Status != 503 || m.answered != answered || m.heard != heard {
+		t.Errorf("a copy: status %d, answered %s later, heard %s later", r.Status, m.answered.Sub(answered), m.heard.Sub(heard))
+	}
+	l.takeReport(m, &protocol.Report{Machine: "vm-1", Session: 1, Seq: 13, Token: l.token()}, false)
+	if r := report(1, 12, 0); r.Status != 200 || !m.answered.After(answered) || m.seq != 13 {
+		t.Errorf("a report overtaken by a response: status %d, number %d", r.Status, m.seq)
+	}
+	answered = m.answered
+	if r := report(2, 14, 0); r.Status != 200 || m.session != 2 {
+		t.Errorf("the next session: status %d, session %d", r.Status, m.session)
+	}
+	if r := report(1, 20, 0); r.Status != 503 || m.session != 2 {
+		t.Errorf("a copy of the session before: status %d, session %d", r.Status, m.session)
+	}
+	l.machineGone(m, "returned")
+	n.now = n.now.Add(10 * time.Minute)
+	if r := report(2, 15, 0); r.Status != 503 || l.machines["vm-1"] != nil {
+		t.Errorf("a copy long after the machine's end: status %d", r.Status)
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -30,6 +30,7 @@
 	ID         uint64
 	Status     int
 	RetryAfter int // seconds; 0 for none
+	Close      bool
 	Body       []byte
 }
 
@@ -123,6 +124,7 @@
 	n.startElection()
 	n.loadTypes()
 	n.every(time.Second, n.publish)
+	n.every(time.Second, n.checkStore)
 	return n.take()
 }
 
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -64,6 +64,16 @@
 	return false
 }
 
+// hearsPeer reports whether another node was heard lately.
+func (n *Node) hearsPeer() bool {
+	for _, p := range n.peers {
+		if n.now.Sub(p.at) < 3*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
 // peerReachesStore reports whether another node lately said that the state
 // service serves it.
 func (n *Node) peerReachesStore() bool {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -180,10 +180,10 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *job) int {
-		if d := a.rank() - b.rank(); d != 0 {
+		if d := a.turn(wall) - b.turn(wall); d != 0 {
 			return d
 		}
-		if d := int(b.Priority) - int(a.Priority); d != 0 {
+		if d := b.aged(wall) - a.aged(wall); d != 0 {
 			return d
 		}
 		switch wa, wb := weights[a], weights[b]; {
@@ -208,6 +208,32 @@
 	return 2
 }
 
+// overdueAfter is how long a job may wait for its first task before it goes ahead
+// of all but critical ones, and agingStep the wait that raises its priority among
+// those that wait by one. Without either a stream of small jobs, or of more urgent
+// ones, that fills the cluster kept large and low ones from ever beginning. What
+// may be stopped for a job doesn't change by its wait.
+const (
+	overdueAfter = 100 * time.Second
+	agingStep    = 150 * time.Second
+)
+
+// turn is the job's rank, the wait for a first task considered.
+func (j *job) turn(wall time.Time) int {
+	if r := j.rank(); r < 2 || j.live > 0 || j.doneCount > 0 || wall.Sub(j.submitted) < overdueAfter {
+		return r
+	}
+	return 1
+}
+
+// aged is the priority that waiting has brought a job, below critical.
+func (j *job) aged(wall time.Time) int {
+	if j.Priority == protocol.Critical {
+		return int(protocol.Critical)
+	}
+	return min(int(protocol.Urgent), int(j.Priority)+int(max(wall.Sub(j.submitted), 0)/agingStep))
+}
+
 // underLimit reports whether one more task of the job stays within its team's
 // limit, which counts every attempt not proven gone.
 func (l *lead) underLimit(j *job) bool {
@@ -235,9 +261,9 @@
 }
 
 // open reports whether a machine takes new tasks: it has reported to this
-// leader, is not on its way out, and isn't silent.
+// leader and been reached by it, is not on its way out, and isn't silent.
 func (l *lead) open(m *machine) bool {
-	return m.up && m.recorded && m.spec != nil && !m.draining && !m.releasing && m.noticeAt.IsZero() && m.probeFails == 0 &&
+	return m.up && !m.reached.IsZero() && m.recorded && m.spec != nil && !m.draining && !m.releasing && m.noticeAt.IsZero() && m.probeFails == 0 &&
 		l.n.now.Sub(m.heard) <= l.suspectAfter()
 }
 
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -14,6 +14,9 @@
 // storeProbe is the pause between attempts to reach it while it is down.
 const storeProbe = 300 * time.Millisecond
 
+// storeQuiet is how long the state service may be silent before it is asked.
+const storeQuiet = 1500 * time.Millisecond
+
 // watchWait is how long a watch stays open without news.
 const watchWait = 8 * time.Second
 
@@ -66,6 +69,15 @@
 	})
 }
 
+// checkStore asks the state service when nothing else has for a while. A watch that
+// is cut says nothing for many seconds, and a node without other requests would
+// still call itself healthy.
+func (n *Node) checkStore() {
+	if n.storeBad.IsZero() && n.now.Sub(n.storeOK) > storeQuiet {
+		n.storeGet(bookkeeping.KeyTerm, func(protocol.Item, bool, bool) {})
+	}
+}
+
 // storeDown reports whether the state service has refused or ignored this
 // node for longer than a hiccup.
 func (n *Node) storeDown() bool {
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -13,8 +13,9 @@
 )
 
 // TestChaos plays drawn troubles over drawn jobs, then heals everything: no
-// rule may be broken on the way, and in the end every job that was accepted and
-// not cancelled must be done, with nothing left running. CHAOS_SEEDS sets how
+// rule may be broken on the way, soon every node that is up must answer for every
+// job that was accepted and not cancelled, no class, team or large job may be
+// starved, and in the end all must be done, with nothing left running. CHAOS_SEEDS sets how
 // many days are played.
 func TestChaos(t *testing.T) {
 	days := 24
@@ -38,12 +39,15 @@
 	}
 	c := New(o)
 	c.copies = rng.IntN(2) == 0
+	if rng.IntN(2) == 0 {
+		c.reportCopies = time.Duration(2+rng.IntN(45)) * time.Second
+	}
 	c.Advance(3 * time.Second)
 	var accepted []string
 	count := 0
 	submit := func() {
 		count++
-		spec := protocol.Job{ID: fmt.Sprintf("run-%06d", count), Class: "class", Team: []string{"red", "blue"}[rng.IntN(2)],
+		spec := protocol.Job{ID: fmt.Sprintf("run-%06d", count), Class: []string{"one", "two"}[rng.IntN(2)], Team: []string{"red", "blue"}[rng.IntN(2)],
 			Kind: protocol.Batch, Priority: protocol.Priority(1 + rng.IntN(4)), Tasks: 1 + rng.IntN(9), CPUs: float64(1 + rng.IntN(2)),
 			MemGB: 2, Image: fmt.Sprintf("img-%d", rng.IntN(4)), ImageGB: 0.5 + rng.Float64(), Spot: rng.IntN(2) == 0,
 			Spread: rng.IntN(5) == 0 && len(zones) > 1, OneZone: rng.IntN(5) == 0}
@@ -89,7 +93,51 @@
 			c.Poll(rng.IntN(3), fmt.Sprintf("run-%06d", 1+rng.IntN(count)), func(int, string) {})
 		}
 		n := c.nodes[rng.IntN(3)]
-		switch rng.IntN(14) {
+		switch rng.IntN(19) {
+		case 14: // reports arrive, nothing of ours does
+			if h := host(); h != nil {
+				reset := rng.IntN(2) == 0
+				for _, p := range c.nodes {
+					if reset {
+						c.ResetOneWay(p.name, h.name)
+					} else {
+						c.CutOneWay(p.name, h.name, rng.IntN(2) == 0)
+					}
+				}
+				later(40, c.Heal)
+			}
+		case 15:
+			if i := c.Leader(); i >= 0 && rng.IntN(2) == 0 {
+				n = c.nodes[i]
+			}
+			c.Isolate(n)
+			later(30, c.Heal)
+		case 16: // back within a fraction of a second, perhaps twice in a row
+			if i := c.Leader(); i >= 0 && rng.IntN(2) == 0 {
+				n = c.nodes[i]
+			}
+			for range 1 + rng.IntN(2) {
+				if n.core != nil {
+					n.crash()
+				}
+				c.Advance(time.Duration(20+rng.IntN(400)) * time.Millisecond)
+				if n.core == nil {
+					n.start()
+				}
+				c.Advance(time.Duration(rng.IntN(300)) * time.Millisecond)
+			}
+		case 17:
+			if h := host(); h != nil && !h.worker.hung {
+				h.worker.hang(true)
+				c.Advance(time.Duration(50+rng.IntN(900)) * time.Millisecond)
+				if !h.worker.dead {
+					h.worker.hang(false)
+				}
+			}
+		case 18:
+			if h := host(); h != nil {
+				h.worker.reboot()
+			}
 		case 0, 1:
 			if i := c.Leader(); i >= 0 && rng.IntN(2) == 0 {
 				n = c.nodes[i]
@@ -166,13 +214,16 @@
 	c.Heal()
 	c.state.setOutage(false)
 	clear(c.state.refused)
-	c.state.late, c.cloud.late, c.cloud.outage = 0, 0, false
+	c.state.late, c.cloud.late, c.cloud.outage, c.reportCopies = 0, 0, false, 0
 	for _, n := range c.nodes {
 		if n.core == nil {
 			n.start()
 		}
 	}
 	c.Advance(20 * time.Second)
+	for _, u := range c.Unanswered() {
+		t.Errorf("not answered once all is healed: %s", u)
+	}
 	// A submission whose answer was lost may have been accepted all the same.
 	for i := range count {
 		id := fmt.Sprintf("run-%06d", i+1)
@@ -185,6 +236,11 @@
 		}
 	}
 	c.Advance(10 * time.Minute)
+	for _, s := range c.Starved() {
+		if !strings.Contains(s, "waited") { // in minutes of trouble any may wait
+			t.Error(s)
+		}
+	}
 	for _, id := range accepted {
 		c.Poll(0, id, func(status int, text string) {
 			if status != 200 || !strings.HasPrefix(text, "done") && !strings.HasPrefix(text, "aborted") {
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -71,6 +71,8 @@
 	links    map[link]*cut
 	broken   []string
 	copies   bool // direct orders that were carried out arrive once more, later
+	// Reports arrive once more, after up to this long.
+	reportCopies time.Duration
 }
 
 // node is one controller's host.
@@ -91,8 +93,9 @@
 type link struct{ from, to string }
 
 type cut struct {
-	hold bool // deliver when the cut ends
-	held []func()
+	hold  bool // deliver when the cut ends
+	reset bool // connections fail at once
+	held  []func()
 }
 
 // Types is what the stand-in cloud rents.
@@ -185,9 +188,36 @@
 // Cut interrupts the network between two hosts, both ways. Held messages come
 // late, others never.
 func (c *Cluster) Cut(a, b string, hold bool) {
-	for _, l := range []link{{a, b}, {b, a}} {
-		if c.links[l] == nil {
-			c.links[l] = &cut{hold: hold}
+	c.CutOneWay(a, b, hold)
+	c.CutOneWay(b, a, hold)
+}
+
+// CutOneWay interrupts what one host sends to another.
+func (c *Cluster) CutOneWay(from, to string, hold bool) {
+	if l := (link{from, to}); c.links[l] == nil {
+		c.links[l] = &cut{hold: hold}
+	}
+}
+
+// ResetOneWay lets what one host sends to another end its connections.
+func (c *Cluster) ResetOneWay(from, to string) {
+	c.CutOneWay(from, to, false)
+	c.links[link{from, to}].reset = true
+}
+
+// resets reports whether connections fail on the way between two hosts.
+func (c *Cluster) resets(from, to string) bool {
+	k := c.links[link{from, to}]
+	return k != nil && k.reset
+}
+
+// Isolate cuts a node from the state service and the other nodes, not from
+// workers and users.
+func (c *Cluster) Isolate(n *node) {
+	c.Cut(n.name, "state", false)
+	for _, p := range c.nodes {
+		if p != n {
+			c.Cut(n.name, p.name, false)
 		}
 	}
 }
@@ -220,13 +250,22 @@
 }
 
 // request carries a request to a server and its response back. The server may
-// answer later, once, or never; done runs when the response arrives.
+// answer later, once, or never; done runs when the response arrives, with status
+// 0 when the connection fails.
 func (c *Cluster) request(from, to string, serve func(respond func(status int, body []byte)), done func(status int, body []byte)) {
+	if c.resets(from, to) {
+		c.after(c.delay(), func() { done(0, nil) })
+		return
+	}
 	c.send(from, to, func() {
 		answered := false
 		serve(func(status int, body []byte) {
 			if !answered {
 				answered = true
+				if c.resets(to, from) {
+					c.after(c.delay(), func() { done(0, nil) })
+					return
+				}
 				c.send(to, from, func() { done(status, body) })
 			}
 		})
@@ -289,7 +328,7 @@
 		}
 		c.after(k.Timeout, func() { finish(coordination.Outcome{}) })
 		done := func(status int, body []byte) {
-			finish(coordination.Outcome{Status: status, Body: body, Answered: true})
+			finish(coordination.Outcome{Status: status, Body: body, Answered: status != 0})
 		}
 		switch k.To {
 		case coordination.State:
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -246,26 +246,47 @@
 			r.c.after(duration(t, d, arg(d, "in", "20s")), func() { r.c.cloud.end(h) })
 		case "sick":
 			h.worker.sick = true
+		case "reboot":
+			h.worker.reboot()
 		default:
 			d.Fatalf(t, "unknown trouble")
 		}
 		return ""
 	case "cut":
-		// cut A B [hold]: a host, "zone:Z", "machines" or "nodes".
+		// cut A B [hold] [oneway] [reset]: a host, "zone:Z", "machines" or "nodes";
+		// oneway stops only what A sends to B, reset does so by ending connections.
 		for _, a := range r.hosts(t, d, d.CmdArgs[0].Key) {
 			for _, b := range r.hosts(t, d, d.CmdArgs[1].Key) {
-				if a != b {
+				switch {
+				case a == b:
+				case arg(d, "reset", "") != "":
+					r.c.ResetOneWay(a, b)
+				case arg(d, "oneway", "") != "":
+					r.c.CutOneWay(a, b, arg(d, "hold", "") != "")
+				default:
 					r.c.Cut(a, b, arg(d, "hold", "") != "")
 				}
 			}
 		}
 		return ""
+	case "isolate":
+		r.c.Isolate(r.c.nodes[r.node(t, d, first(t, d))])
+		return ""
 	case "heal":
 		r.c.Heal()
 		return ""
 	case "copies":
+		// copies on|off, of direct orders; copies reports=D, of reports up to D late.
 		r.c.copies = first(t, d) == "on"
+		r.c.reportCopies = duration(t, d, arg(d, "reports", "0s"))
 		return ""
+	case "stream":
+		// stream FROM COUNT every=D ...: jobs one after the other, numbered from FROM.
+		return r.stream(t, d)
+	case "starved":
+		return strings.Join(r.c.Starved(), "\n")
+	case "unanswered":
+		return strings.Join(r.c.Unanswered(), "\n")
 	case "rent":
 		// A machine that nobody here asked for.
 		r.c.cloud.start(arg(d, "type", "small"), arg(d, "zone", "a"), false, time.Second)
@@ -317,7 +338,39 @@
 }
 
 func (r *runner) submit(t *testing.T, d *datadriven.TestData) string {
-	spec := protocol.Job{ID: first(t, d), Class: "class", Team: arg(d, "team", "red"), Kind: protocol.Batch,
+	spec, run := r.spec(t, d, first(t, d))
+	node := r.node(t, d, arg(d, "node", "leader"))
+	var out string
+	done := false
+	r.c.Submit(node, spec, run, arg(d, "bad", "") != "", func(status int, state string) {
+		out, done = strings.TrimSpace(fmt.Sprintf("%d %s", status, state)), true
+	})
+	r.await(&done)
+	return out
+}
+
+// stream submits jobs at intervals, whatever is answered.
+func (r *runner) stream(t *testing.T, d *datadriven.TestData) string {
+	if len(d.CmdArgs) < 2 {
+		d.Fatalf(t, "stream needs a first number and a count")
+	}
+	from, _ := strconv.Atoi(d.CmdArgs[0].Key)
+	count, _ := strconv.Atoi(d.CmdArgs[1].Key)
+	every := duration(t, d, arg(d, "every", "1s"))
+	for i := range count {
+		spec, run := r.spec(t, d, fmt.Sprintf("run-%06d", from+i))
+		r.c.after(time.Duration(i)*every, func() {
+			if node := r.c.Leader(); node >= 0 {
+				r.c.Submit(node, spec, run, false, func(int, string) {})
+			}
+		})
+	}
+	return ""
+}
+
+// spec is a job as a command's arguments describe it.
+func (r *runner) spec(t *testing.T, d *datadriven.TestData, id string) (protocol.Job, time.Duration) {
+	spec := protocol.Job{ID: id, Class: arg(d, "class", "class"), Team: arg(d, "team", "red"), Kind: protocol.Batch,
 		Priority: map[string]protocol.Priority{"critical": protocol.Critical, "urgent": protocol.Urgent,
 			"standard": protocol.Standard, "low": protocol.Low}[arg(d, "priority", "standard")],
 		Tasks: int(number(t, d, "tasks", "1")), CPUs: number(t, d, "cpus", "1"), MemGB: number(t, d, "mem", "2"),
@@ -333,14 +386,7 @@
 	} else {
 		spec.Estimate = run
 	}
-	node := r.node(t, d, arg(d, "node", "leader"))
-	var out string
-	done := false
-	r.c.Submit(node, spec, run, arg(d, "bad", "") != "", func(status int, state string) {
-		out, done = strings.TrimSpace(fmt.Sprintf("%d %s", status, state)), true
-	})
-	r.await(&done)
-	return out
+	return spec, run
 }
 
 // show lists what runs where, by type, zone and kind of machine.
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"brasskeel/internal/protocol"
@@ -17,6 +19,8 @@
 	on        map[int]map[*worker]bool // machines each task is on
 	starts    int
 
+	submitted time.Time
+	began     time.Time // when its first task ran
 	accepted  bool
 	asked     bool // a cancellation was asked for
 	cancelled time.Time
@@ -28,7 +32,7 @@
 	j := c.jobs[spec.ID]
 	if j == nil {
 		j = &userJob{spec: spec, run: run, bad: bad, completed: map[int]bool{}, progress: map[int]time.Duration{},
-			on: map[int]map[*worker]bool{}}
+			on: map[int]map[*worker]bool{}, submitted: c.now}
 		c.jobs[spec.ID] = j
 	}
 	told := c.told(spec.ID)
@@ -145,6 +149,88 @@
 	}
 }
 
+// startWithin is how long one of the largest jobs may wait for its first task.
+const startWithin = 4 * time.Minute
+
+// Starved lists who is served too little: a class or a team of whose jobs less
+// than half has begun, or of whose largest jobs that holds, and largest jobs that
+// waited too long for their first task. Jobs that were cancelled or can't run
+// don't count.
+func (c *Cluster) Starved() []string {
+	groups := map[string][]*userJob{}
+	for _, j := range c.jobs {
+		if j.accepted && !j.asked && !j.bad {
+			groups["class "+j.spec.Class] = append(groups["class "+j.spec.Class], j)
+			groups["team "+j.spec.Team] = append(groups["team "+j.spec.Team], j)
+		}
+	}
+	var list []string
+	for name, jobs := range groups {
+		slices.SortFunc(jobs, func(a, b *userJob) int {
+			if d := b.spec.Tasks - a.spec.Tasks; d != 0 {
+				return d
+			}
+			return strings.Compare(a.spec.ID, b.spec.ID)
+		})
+		began := func(jobs []*userJob) (n int) {
+			for _, j := range jobs {
+				if !j.began.IsZero() {
+					n++
+				}
+			}
+			return n
+		}
+		if n := began(jobs); n*2 < len(jobs) {
+			list = append(list, fmt.Sprintf("%s: %d of %d jobs began", name, n, len(jobs)))
+		}
+		if !strings.HasPrefix(name, "class ") {
+			continue
+		}
+		largest := jobs[:(len(jobs)+3)/4]
+		if n := began(largest); n*2 < len(largest) {
+			list = append(list, fmt.Sprintf("%s: %d of the %d largest jobs began", name, n, len(largest)))
+		}
+		for _, j := range largest {
+			wait := c.now.Sub(j.submitted)
+			if !j.began.IsZero() {
+				wait = j.began.Sub(j.submitted)
+			}
+			if wait > startWithin {
+				list = append(list, fmt.Sprintf("%s: %s with %d tasks waited %s", name, j.spec.ID, j.spec.Tasks, wait.Round(time.Second)))
+			}
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Unanswered asks every node that is up, one question after the other, for every
+// job that is accepted and not cancelled, and lists those that a node doesn't know
+// or answer.
+func (c *Cluster) Unanswered() []string {
+	var ids, list []string
+	for id, j := range c.jobs {
+		if j.accepted && !j.asked {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		for i, n := range c.nodes {
+			if n.core != nil {
+				c.Poll(i, id, func(status int, _ string) {
+					if status != 200 {
+						list = append(list, fmt.Sprintf("%s at %s: %d", id, n.name, status))
+					}
+				})
+			}
+		}
+		c.Advance(10 * time.Millisecond)
+	}
+	c.Advance(5 * time.Second)
+	return list
+}
+
 // taskStarts checks the rules for a task that starts on a machine.
 func (c *Cluster) taskStarts(w *worker, t *runningTask, j *userJob) {
 	if j.on[t.index] == nil {
@@ -155,6 +241,9 @@
 	}
 	j.on[t.index][w] = true
 	j.starts++
+	if j.began.IsZero() {
+		j.began = c.now
+	}
 	if !j.cancelled.IsZero() && c.now.Sub(j.cancelled) > c.settings.CancelWithin {
 		c.breaks("ran_cancelled", "%s starts on %s", t, w.name)
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -64,6 +64,13 @@
 	delete(w.c.workers, w.name)
 }
 
+// reboot ends the worker's tasks at once and starts a new session, as after its
+// lease, under what it knew of numbers and tokens.
+func (w *worker) reboot() {
+	w.answered = w.c.now.Add(-w.c.settings.WorkerLease)
+	w.checkLease()
+}
+
 // run does f now, or when the machine goes on.
 func (w *worker) run(f func()) {
 	if w.dead {
@@ -167,9 +174,12 @@
 		c.after(2*time.Millisecond, func() { w.run(func() { finish(tryNext) }) })
 		return
 	}
-	c.request(w.name, n.name, func(respond func(int, []byte)) {
-		n.request("POST", protocol.PathReport, body, respond)
-	}, func(status int, body []byte) {
+	serve := func(respond func(int, []byte)) { n.request("POST", protocol.PathReport, body, respond) }
+	if c.reportCopies > 0 {
+		late := time.Second + time.Duration(c.rng.Int64N(int64(c.reportCopies)))
+		c.after(late, func() { c.send(w.name, n.name, func() { serve(func(int, []byte) {}) }) })
+	}
+	c.request(w.name, n.name, serve, func(status int, body []byte) {
 		w.run(func() {
 			finish(func() {
 				switch status {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -306,14 +306,16 @@
 	return gnet.None
 }
 
-// Reply answers a request. A reply to a connection that is gone is dropped.
-func (l *Loop) Reply(id uint64, status, retryAfter int, body []byte) {
+// Reply answers a request, and ends its connection if last is set. A reply to a
+// connection that is gone is dropped.
+func (l *Loop) Reply(id uint64, status, retryAfter int, body []byte, last bool) {
 	s := l.pending[id]
 	if s == nil {
 		return
 	}
 	delete(l.pending, id)
 	s.request = 0
+	s.close = s.close || last
 	l.out = appendResponse(l.out[:0], status, retryAfter, body, s.close)
 	_, _ = s.conn.Write(l.out)
 	if s.close {
--- a/internal/transport/loop_test.go
+++ b/internal/transport/loop_test.go
@@ -24,7 +24,7 @@
 	if target == "/hold" {
 		return
 	}
-	e.loop.Reply(id, 200, 0, fmt.Appendf(nil, "%s %s %s", method, target, body))
+	e.loop.Reply(id, 200, 0, fmt.Appendf(nil, "%s %s %s", method, target, body), target == "/last")
 }
 
 // startLoop runs the one loop the tests share: gnet has no quick way to stop.
