--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -168,7 +168,7 @@
 		case txnApplied:
 			n.admission.setKnown(job.ID)
 			n.log.Debug("job accepted", "job", job.ID, "class", job.Class, "tasks", job.Tasks,
-				"estimate", job.Estimate, "deadline", job.Deadline)
+				"estimate", job.Estimate, "deadline", job.Deadline, "image", job.Image, "gb", job.ImageGB)
 			n.reply(id, 201, protocol.JobAnswer(job.ID, protocol.Queued))
 		case txnFailed:
 			n.admission.waiting++
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -678,6 +678,7 @@
 					}
 					f.listing = false
 					l.compareList(all)
+					l.checkHeard()
 					return
 				}
 			}
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -21,7 +21,10 @@
 // askAfter is how long a new leader lets workers come by themselves before it
 // asks them. They find it when their next report is due, or later; those that an
 // earlier leader without the state service still answers come only after its grace.
-const askAfter = 300 * time.Millisecond
+const (
+	askAfter = 300 * time.Millisecond
+	askTwice = 2 // times without an answer, and the leader waits no longer for it
+)
 
 // lead is what a leader keeps in memory. All of it is rebuilt from the state
 // service and from reports by the next one.
@@ -52,6 +55,7 @@
 
 	preferred  string // zone last recorded as the better one for leaders
 	placeAsked bool
+	checkAsked bool
 	stepDirect []*machine // machines with orders to send at the end of the step
 }
 
@@ -256,15 +260,19 @@
 }
 
 // allHeard reports whether every machine that should have told its tasks and
-// images has: there is nothing more to wait for then.
+// images has, or was asked and didn't answer, or isn't in the cloud's list, so that
+// it can't be asked: there is nothing more to wait for then. Among hundreds of
+// machines a few are always gone.
 func (l *lead) allHeard() bool {
 	if len(l.fleetList) == 0 {
 		return false
 	}
+	listed := !l.fleet.listedAt.IsZero() && !l.fleet.listing
 	for _, m := range l.fleetList {
 		// One that only a lagging list tells of may be gone already.
 		booted := m.inherited && (m.spec == nil || l.n.now.Sub(m.rented) > 2*m.spec.Boot)
-		if (!m.reconciled || m.reached.IsZero()) && (len(m.attempts) > 0 || booted) {
+		heard := m.reconciled && !m.reached.IsZero()
+		if !heard && (len(m.attempts) > 0 || booted) && m.probeFails < askTwice && !(listed && m.addr == "") {
 			return false
 		}
 	}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -315,7 +315,12 @@
 	if l.phase != settling {
 		return
 	}
+	if l.checkAsked {
+		return
+	}
+	l.checkAsked = true
 	l.n.after(10*time.Millisecond, func() {
+		l.checkAsked = false
 		if l.alive() && l.phase == settling && l.allHeard() {
 			l.activate()
 		}
@@ -762,6 +767,7 @@
 		switch {
 		case r == nil || r.Machine != m.name:
 			m.probeFails++
+			l.checkHeard()
 			// Perhaps only calls fail. A token that the worker hasn't seen yet tells,
 			// when a report shows it, whether answers to its reports arrive.
 			if m.up && m.token >= l.machineToken(m) {
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -82,7 +82,8 @@
 // The score prefers the machine that holds the image, then the one with more
 // free room; one that is being emptied comes last.
 func TestBest(t *testing.T) {
-	_, l := leading(active)
+	n, l := leading(active)
+	n.op.ImageWeight, n.op.RoomWeight = 1, 1
 	j := &job{Job: &protocol.Job{ID: "run-000001", Team: "red", Tasks: 1, CPUs: 1, MemGB: 1, Image: "a", ImageGB: 1},
 		zones: map[string]int{}, failedOn: map[string]struct{}{}}
 	var list []*machine
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -275,7 +275,8 @@
 	if j.Kind == protocol.Gang {
 		return l.placeGang(j)
 	}
-	for j.toStart() > 0 && l.journal.unsaved < maxUnrecorded {
+	held := 0 // tasks that wait for room on machines with their image
+	for j.toStart() > held && l.journal.unsaved < maxUnrecorded {
 		if !l.underLimit(j) {
 			l.makeLimitRoom(j)
 			return 0 // more machines wouldn't help
@@ -288,9 +289,13 @@
 		if m == nil {
 			break
 		}
+		if l.slowStart(j, m) && l.makeHolderRoom(j) {
+			held++
+			continue
+		}
 		l.assign(j, i, m)
 	}
-	left := j.toStart()
+	left := j.toStart() - held
 	if u, t := l.teams[j.Team], l.n.teams[j.Team]; j.CPUs > 0 {
 		left = min(left, int((t.CPUsMax-u.cpus)/j.CPUs+protocol.Epsilon))
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -15,21 +15,53 @@
 	// Room that earlier rounds are freeing costs nothing and is taken first, so
 	// that no more is stopped than needed.
 	for left > 0 {
-		m, victims := l.cheapestRoom(j)
+		m, victims := l.cheapestRoom(j, false)
 		if m == nil {
 			return left
 		}
-		for _, a := range victims {
-			l.n.log.Debug("preempted", "job", a.job.ID, "task", a.task, "machine", m.name, "for", j.ID, "lost", l.wasted(a))
-			l.stopAttempt(a, l.saveGrace(a))
-			l.noteStopped(a)
-		}
-		m.promise(j.Job)
+		l.free(m, victims, j)
 		left--
 	}
 	return 0
 }
 
+// free stops attempts on a machine and promises the room to a job.
+func (l *lead) free(m *machine, victims []*attempt, j *job) {
+	for _, a := range victims {
+		l.n.log.Debug("preempted", "job", a.job.ID, "task", a.task, "machine", m.name, "for", j.ID, "lost", l.wasted(a))
+		l.stopAttempt(a, l.saveGrace(a))
+		l.noteStopped(a)
+	}
+	m.promise(j.Job)
+}
+
+// slowStart reports whether fetching the image on a machine alone would take a
+// critical task past the time in which its users want it started.
+func (l *lead) slowStart(j *job, m *machine) bool {
+	if j.Priority != protocol.Critical || m.spec.FetchRate <= 0 {
+		return false
+	}
+	fetch := time.Duration((1 - m.imageShare(j.Job)) * j.ImageGB / m.spec.FetchRate * float64(time.Second))
+	for i := range l.n.cfg.Objectives {
+		if o := &l.n.cfg.Objectives[i]; o.Kind == "wait" && o.Class == j.Class && fetch > o.Within {
+			return true
+		}
+	}
+	return false
+}
+
+// makeHolderRoom stops lower work on a machine that holds the image of a critical
+// job. Where images are many, the machines that hold one are mostly full, and
+// whoever has room would have to fetch it.
+func (l *lead) makeHolderRoom(j *job) bool {
+	m, victims := l.cheapestRoom(j, true)
+	if m == nil {
+		return false
+	}
+	l.free(m, victims, j)
+	return true
+}
+
 // patience is how long a job within its team's guarantee waits for room that
 // frees by itself before work of others is stopped for it: a part of the time
 // that users allow it. Tasks are short, so most of the room comes by itself,
@@ -127,8 +159,9 @@
 }
 
 // cheapestRoom finds the machine where stopping the least work makes room for
-// one task of the job.
-func (l *lead) cheapestRoom(j *job) (*machine, []*attempt) {
+// one task of the job. With holders set, only machines that hold the job's image
+// count, and only work that ends at once.
+func (l *lead) cheapestRoom(j *job, holders bool) (*machine, []*attempt) {
 	var best *machine
 	var bestVictims []*attempt
 	bestCost := 0.0
@@ -136,6 +169,9 @@
 		if !l.open(m) || !m.allowed(j.Job) || !j.zoneAllows(m.zone) || m.failures[j.ID] > 0 {
 			continue
 		}
+		if holders && m.images.bytes(j.Image) < j.ImageGB {
+			continue
+		}
 		cpus, gpus, mem := m.spec.CPUs-m.cpus, m.spec.GPUs-m.gpus, m.spec.MemGB-m.mem
 		freed, freedMem := m.stopping()
 		cpus += freed.cpus - m.promised.cpus
@@ -146,7 +182,7 @@
 		}
 		var candidates, victims []*attempt
 		for _, a := range m.sorted() {
-			if l.mayStop(a, j) {
+			if l.mayStop(a, j) && !(holders && l.saveGrace(a) > 0) {
 				candidates = append(candidates, a)
 			}
 		}
