Replicas are packed, and moved off several machines at a time

Cause: a replica alone on a machine keeps it from being returned; moves came one per 10 s whatever the size. Found: nearly all missed deadlines are tasks restarted after a spot machine was taken.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -33,7 +33,7 @@
 
 // DefaultOperator is used where operators set nothing.
 func DefaultOperator() Operator {
-	return Operator{ImageWeight: 1, RoomWeight: -1, HeadroomShare: 0.1, IdleSeconds: 4, LeaderLeaseSeconds: 2, Spot: true}
+	return Operator{ImageWeight: 1, RoomWeight: 1, HeadroomShare: 0.2, IdleSeconds: 4, LeaderLeaseSeconds: 2, Spot: true}
 }
 
 // Idle is IdleSeconds as a duration.
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -60,6 +60,7 @@
 	listedAt  time.Time
 	typesAt   time.Time
 	movedAt   time.Time
+	loggedAt  time.Time
 	fixedNeed float64 // CPUs of the largest job seen that may not use spot machines
 }
 
@@ -118,6 +119,38 @@
 	l.shrink()
 	l.consolidate()
 	l.sendReleases()
+	l.logFleet()
+}
+
+// logFleet tells now and then what the machines are used for.
+func (l *lead) logFleet() {
+	n, f := l.n, &l.fleet
+	if n.now.Sub(f.loggedAt) < 5*time.Second {
+		return
+	}
+	f.loggedAt = n.now
+	type use struct{ machines, emptying, pinned, cpus, services, used float64 }
+	var spot, fixed use
+	for _, m := range l.fleetList {
+		if !m.up || m.spec == nil {
+			continue
+		}
+		u := &fixed
+		if m.spot {
+			u = &spot
+		}
+		u.machines++
+		u.cpus += m.spec.CPUs
+		u.used += m.cpus
+		u.services += m.services
+		if m.emptying {
+			u.emptying++
+		}
+		if m.services > 0 {
+			u.pinned++
+		}
+	}
+	n.log.Debug("fleet", "machines", len(l.fleetList), "spot", fmt.Sprintf("%+v", spot), "fixed", fmt.Sprintf("%+v", fixed), "unmet", len(f.unmet))
 }
 
 // choosePlace keeps the leader in the zone that holds most machines, so that
@@ -475,18 +508,25 @@
 			l.release(m, "taken")
 		case m.emptying && len(m.attempts) == 0 && age > minimumCharge && n.now.Sub(m.emptySince) > n.op.Idle():
 			l.release(m, "not needed")
-		case m.up && m.recorded && m.spec != nil && !m.draining && !m.emptying && m.noticeAt.IsZero() && !m.holdsService():
+		case m.emptying && m.onlyServices() && !l.canMove(m, map[*machine]room{}):
+			m.emptying = false // it stays for its replicas, so others may use it, too
+		case m.up && m.recorded && m.spec != nil && !m.draining && !m.emptying && m.noticeAt.IsZero():
 			candidates = append(candidates, m)
 		}
 	}
 	// Tasks spread over all machines: waiting for one to be empty by chance
 	// would keep them all.
 	dearestFirst(candidates)
+	taken := map[*machine]room{}
 	for _, m := range candidates {
 		room := l.fixedRoom(m)
 		if free-(m.spec.CPUs-m.cpus) < want+m.cpus || room > 0 && fixedRoom-room < fixedNeed {
 			continue
 		}
+		// Replicas would hold it for long, unless they can go elsewhere.
+		if m.services > 0 && (m.services > m.spec.CPUs/2+protocol.Epsilon || !l.canMove(m, taken)) {
+			continue
+		}
 		free -= m.spec.CPUs - m.cpus
 		fixedRoom -= room
 		m.emptying = true
@@ -502,8 +542,12 @@
 	return 0
 }
 
-// consolidate moves the replicas of a little used machine to others that hold
-// their images, where all of them find room, so that it can be returned.
+// movesAtOnce is the part of the fleet whose replicas are moved in one turn, as a
+// divisor.
+const movesAtOnce = 30
+
+// consolidate moves the replicas of little used machines to others that hold
+// their images, where all of them find room, so that these can be returned.
 // Services stay for long, and what they were spread over when the cluster was
 // busy would stay with them. A move takes a moment: the image is there.
 func (l *lead) consolidate() {
@@ -514,50 +558,72 @@
 	fixedRoom := 0.0
 	var candidates []*machine
 	for _, m := range l.fleetList {
-		if !l.open(m) || m.emptying {
+		if !l.open(m) {
 			continue
 		}
-		fixedRoom += l.fixedRoom(m)
-		if len(m.attempts) > 0 && m.cpus <= m.spec.CPUs/2+protocol.Epsilon && n.now.Sub(m.rented) > 2*minimumCharge {
+		if !m.emptying {
+			fixedRoom += l.fixedRoom(m)
+		}
+		if m.onlyServices() && (m.emptying || m.cpus <= m.spec.CPUs/2+protocol.Epsilon) && n.now.Sub(m.rented) > 2*minimumCharge {
 			candidates = append(candidates, m)
 		}
 	}
 	dearestFirst(candidates)
+	left := max(1, len(l.fleetList)/movesAtOnce)
+	taken := map[*machine]room{}
 	for _, m := range candidates {
-		if room := l.fixedRoom(m); room > 0 && fixedRoom-m.spec.CPUs < l.fixedNeed() {
+		if left == 0 {
+			return
+		}
+		if _, target := taken[m]; target {
 			continue
 		}
-		if l.canMove(m) {
-			n.log.Info("moving replicas", "machine", m.name, "attempts", len(m.attempts))
-			l.fleet.movedAt = n.now
-			m.emptying = true
-			for _, a := range m.sorted() {
-				l.stopAttempt(a, 0)
-			}
-			return
+		if room := l.fixedRoom(m); !m.emptying && room > 0 && fixedRoom-m.spec.CPUs < l.fixedNeed() {
+			continue
+		}
+		if !l.canMove(m, taken) {
+			continue
+		}
+		n.log.Info("moving replicas", "machine", m.name, "attempts", len(m.attempts))
+		if !m.emptying {
+			fixedRoom -= l.fixedRoom(m)
+		}
+		l.fleet.movedAt = n.now
+		m.emptying = true
+		left--
+		for _, a := range m.sorted() {
+			l.stopAttempt(a, 0)
 		}
 	}
 }
 
-// canMove reports whether everything on a machine is a running replica that
-// finds room and its image elsewhere.
-func (l *lead) canMove(m *machine) bool {
-	type taken struct{ cpus, gpus, mem float64 }
-	used := map[*machine]taken{}
+// room is what a machine gives to replicas that are to move there.
+type room struct{ cpus, gpus, mem float64 }
+
+// canMove reports whether each replica on a machine runs and finds room and its
+// image elsewhere, beside what is taken already, and takes that room if so.
+func (l *lead) canMove(m *machine, taken map[*machine]room) bool {
+	plan := map[*machine]room{}
 	for _, a := range m.sorted() {
 		j := a.job
-		if j.Kind != protocol.Service || a.state != protocol.Running || a.stop || j.toStart() > 0 {
+		if j.Kind != protocol.Service {
+			continue
+		}
+		if a.state != protocol.Running || a.stop || j.toStart() > 0 {
 			return false
 		}
 		found := false
 		for _, o := range l.fleetList {
-			t := used[o]
+			t, planned := plan[o]
+			if !planned {
+				t = taken[o]
+			}
 			if o == m || o.emptying || !l.open(o) || !o.allowed(j.Job) || o.zone != m.zone || o.images.bytes(j.Image) == 0 ||
 				o.cpus+t.cpus+j.CPUs > o.spec.CPUs+protocol.Epsilon || o.gpus+t.gpus+j.GPUs > o.spec.GPUs+protocol.Epsilon ||
 				o.mem+t.mem+j.MemGB > o.spec.MemGB+protocol.Epsilon {
 				continue
 			}
-			used[o] = taken{t.cpus + j.CPUs, t.gpus + j.GPUs, t.mem + j.MemGB}
+			plan[o] = room{t.cpus + j.CPUs, t.gpus + j.GPUs, t.mem + j.MemGB}
 			found = true
 			break
 		}
@@ -565,6 +631,9 @@
 			return false
 		}
 	}
+	for o, t := range plan {
+		taken[o] = t
+	}
 	return true
 }
 
@@ -583,13 +652,14 @@
 	return max(room, 0)
 }
 
-func (m *machine) holdsService() bool {
+// onlyServices reports whether replicas are all that is left on a machine.
+func (m *machine) onlyServices() bool {
 	for _, a := range m.attempts {
-		if a.job.Kind == protocol.Service {
-			return true
+		if a.job.Kind != protocol.Service {
+			return false
 		}
 	}
-	return false
+	return len(m.attempts) > 0
 }
 
 // dearestFirst orders machines by price, the emptiest first among equals.
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -451,6 +451,9 @@
 	m.attempts[taskKey{j.ID, a.task}] = a
 	m.wanted[j.Image]++
 	m.cpus += j.CPUs
+	if j.Kind == protocol.Service {
+		m.services += j.CPUs
+	}
 	m.gpus += j.GPUs
 	m.mem += j.MemGB
 	u := l.teams[j.Team]
@@ -482,10 +485,13 @@
 		delete(m.wanted, j.Image)
 	}
 	m.cpus -= j.CPUs
+	if j.Kind == protocol.Service {
+		m.services -= j.CPUs
+	}
 	m.gpus -= j.GPUs
 	m.mem -= j.MemGB
 	if len(m.attempts) == 0 {
-		m.cpus, m.gpus, m.mem = 0, 0, 0 // no rounding left behind
+		m.cpus, m.gpus, m.mem, m.services = 0, 0, 0, 0 // no rounding left behind
 		m.emptySince = l.n.now
 	}
 	u := l.teams[j.Team]
@@ -513,7 +519,7 @@
 		a.job.running++
 		if !a.inherited {
 			l.n.log.Debug("task runs", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name,
-				"placed", l.n.now.Sub(a.placed), "age", l.n.now.Round(0).Sub(a.job.submitted))
+				"within", a.job.within, "placed", l.n.now.Sub(a.placed), "age", l.n.now.Round(0).Sub(a.job.submitted))
 		}
 	}
 	a.state, a.since = s, l.n.now
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -41,6 +41,7 @@
 
 	attempts        map[taskKey]*attempt
 	cpus, gpus, mem float64 // taken by them
+	services        float64 // CPUs taken by replicas
 	emptySince      time.Time
 	promised        usage // room that preemption frees for others
 	promisedMem     float64
--- a/internal/coordination/score.go
+++ b/internal/coordination/score.go
@@ -105,7 +105,13 @@
 }
 
 // score ranks a machine with room for a task: the cached share of its image
-// and the free share of the machine, each times its weight.
+// and the free share of the machine, each times its weight. For a replica, which
+// stays for long, the share that replicas hold already stands for the free one:
+// scattered, one on each, they would keep all those machines from being returned.
 func (l *lead) score(m *machine, j *job) float64 {
-	return l.n.op.ImageWeight*m.imageShare(j.Job) + l.n.op.RoomWeight*m.freeShare(j.Job)
+	room := m.freeShare(j.Job)
+	if j.Kind == protocol.Service && m.spec.CPUs > 0 {
+		room = m.services / m.spec.CPUs
+	}
+	return l.n.op.ImageWeight*m.imageShare(j.Job) + l.n.op.RoomWeight*room
 }
