--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -211,7 +211,7 @@
 		if m.tokenSince.IsZero() { // its answer is the first of this leader's
 			m.tokenSince = n.now
 		}
-		if m.reached.IsZero() {
+		if m.reached.IsZero() && l.phase == active {
 			l.probe(m)
 		}
 	}
@@ -634,6 +634,8 @@
 
 const (
 	watchInterval = 250 * time.Millisecond
+	// A worker that has seen a new token reports again within half a second.
+	tokenSoon = 700 * time.Millisecond
 	// Reports wait unread while the process does nothing, and then all machines
 	// seem silent.
 	stallAfter = time.Second
@@ -647,7 +649,8 @@
 	l.watched = n.now
 	if l.phase == settling && n.now.Sub(l.loadedAt) > askAfter {
 		for _, m := range l.fleetList {
-			if !m.up && m.inherited {
+			// One that came by itself soon shows our token in its next report.
+			if m.reached.IsZero() && (!m.up && m.inherited || m.up && n.now.Sub(m.firstHeard) > tokenSoon) {
 				l.probe(m)
 			}
 		}
@@ -696,7 +699,7 @@
 				lost++
 			}
 		}
-		if d > probeAfter || out > l.reachAfter() || m.probeFails > 0 {
+		if d > probeAfter || m.up && m.reached.IsZero() || out > l.reachAfter() || m.probeFails > 0 {
 			l.probe(m)
 		}
 		if d > l.releaseAfter() || d > giveUpAfter && m.probeFails >= 3 || out > l.deafAfter() && m.probeFails >= 4 {
