A leader that lost its workers hands over before it returns any machine

When the outage ended it took the time since it last reached them for their lease and returned 228 machines with 1522 tasks at once.

--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -706,7 +706,14 @@
 			silent = append(silent, m)
 		}
 	}
-	if len(silent) == 0 {
+	// Only machines that this leader has heard count: when those are lost to it,
+	// another node may still reach them. Where it doesn't, it won't have heard them
+	// either and stays. Counting all, leaders of a cluster that had lost most
+	// machines for good handed over to one another without end. It comes before
+	// any release: a leader that an outage kept from seeing it in time returned
+	// its whole fleet.
+	if known > 2 && lost*2 > known && n.now.Sub(l.settled) > 2*time.Second && len(n.cfg.Peers) > 0 {
+		n.resign("most machines are out of reach", 3*time.Second)
 		return
 	}
 	for _, m := range silent {
@@ -715,17 +722,11 @@
 				l.detach(a, "the worker's lease has ended")
 			}
 		}
-		if !zones[m.zone].cut() || n.now.Sub(latest(m.reached, m.firstHeard)) > n.cfg.WorkerLease && n.now.Sub(l.elected) > n.cfg.WorkerLease {
+		quiet := n.now.Sub(latest(m.heard, m.reached, l.deaf, l.elected))
+		if !zones[m.zone].cut() || quiet > n.cfg.WorkerLease {
 			l.release(m, "silent")
 		}
 	}
-	// Only machines that this leader has heard count: when those are lost to it,
-	// another node may still reach them. Where it doesn't, it won't have
-	// heard them either and stays. Counting all, leaders of a cluster that had
-	// lost most machines for good handed over to one another without end.
-	if known > 2 && lost*2 > known && n.now.Sub(l.settled) > 2*time.Second && len(n.cfg.Peers) > 0 {
-		n.resign("most machines are out of reach", 3*time.Second)
-	}
 }
 
 func latest(times ...time.Time) time.Time {
