Cheaper placement, paced asking, longer leases after changes: no endless elections

Placement rounds and 240 probes at once took more than the processor's share, the leader lost its 2 s lease for being late, and the next one had the same to do: 38 elections in 130 s.

--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -253,6 +253,10 @@
 		n.reply(id, 200, protocol.JobStatus(job, f.state, f.done, 0))
 		return
 	}
+	if n.lag > lagFar {
+		n.refuse(id, 503, "busy")
+		return
+	}
 	// Anything but a final state may have been overtaken at another node, so
 	// it needs a fresh read; without one there is no answer.
 	if n.storeDown() {
--- /dev/null
+++ b/internal/coordination/bench_test.go
@@ -0,0 +1,112 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/config"
+	"brasskeel/internal/protocol"
+)
+
+// Sizes of the benchmarks: a fleet of hundreds of machines with thousands of
+// tasks. What an event costs must not grow with them more than it has to.
+const (
+	benchMachines = 300
+	benchJobs     = 200
+)
+
+// largeLead is a leader of a large, empty fleet with many waiting jobs.
+func largeLead(jobs int) (*Node, *lead) {
+	n, l := leading(active)
+	n.teams["red"] = &config.Team{Name: "red", CPUs: 2000, CPUsMax: 1e6}
+	n.setTypes([]protocol.MachineType{{Name: "small", CPUs: 16, MemGB: 128, CacheGB: 35, FetchRate: 1, Price: 1, SpotPrice: 0.5,
+		Boot: 10 * time.Second, Zones: []string{"a"}}})
+	for i := range benchMachines {
+		m := l.newMachine(fmt.Sprintf("vm-%06d", i), "small", "a", false)
+		m.up, m.recorded, m.heard, m.reached, m.session, m.addr = true, true, n.now, n.now, 1, "x"
+	}
+	for i := range jobs {
+		l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: benchJob(i)})
+	}
+	return n, l
+}
+
+func benchJob(i int) *protocol.Job {
+	j := &protocol.Job{ID: fmt.Sprintf("run-%06d", i), Class: "c", Team: "red", Kind: protocol.Batch, Priority: protocol.Standard,
+		Tasks: 50, CPUs: 1, MemGB: 6, Image: fmt.Sprintf("img-%d", i%20), ImageGB: 1.5, Estimate: 40 * time.Second}
+	switch i % 10 {
+	case 0:
+		j.Kind, j.Priority, j.Tasks, j.CPUs, j.Estimate = protocol.Service, protocol.Critical, 12, 2, 0
+	case 1:
+		j.Priority, j.CPUs, j.Checkpoint, j.Save = protocol.Low, 4, 20*time.Second, 5*time.Second
+	}
+	return j
+}
+
+// fill places what has room, as often as records allow.
+func fill(l *lead) {
+	for range 20 {
+		l.place()
+		l.journal.unsaved = 0
+	}
+	for _, m := range l.fleetList {
+		for _, a := range m.attempts {
+			a.recorded, a.seen, a.state, a.since = true, true, protocol.Running, l.n.now
+		}
+	}
+}
+
+func BenchmarkPlaceIntoEmptyFleet(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		_, l := largeLead(benchJobs)
+		b.StartTimer()
+		l.place()
+	}
+}
+
+func BenchmarkPlaceInFullFleet(b *testing.B) {
+	_, l := largeLead(benchJobs)
+	fill(l)
+	l.place() // what gives way has been stopped by then
+	b.ReportAllocs()
+	for b.Loop() {
+		l.place()
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	n, l := largeLead(benchJobs)
+	fill(l)
+	n.take()
+	m := l.fleetList[0]
+	r := &protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Token: l.token()}
+	for _, a := range m.sorted() {
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Job: a.job.ID, Index: a.task, Attempt: a.number, State: protocol.Running})
+	}
+	id := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		id++
+		r.Seq++
+		body := protocol.EncodeReport(r)
+		b.StartTimer()
+		n.Request(n.now, id, "POST", protocol.PathReport, body)
+	}
+}
+
+func BenchmarkFleetStep(b *testing.B) {
+	_, l := largeLead(benchJobs)
+	fill(l)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.watchMachines()
+		l.grow()
+		l.shrink()
+		l.consolidate()
+	}
+}
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -19,8 +19,9 @@
 	loaded        bool
 	standing      bool
 	planned       *timer
-	notBefore     time.Time // after stepping down by choice
-	generation    int       // of the watch; an older one's news is dropped
+	notBefore     time.Time   // after stepping down by choice
+	generation    int         // of the watch; an older one's news is dropped
+	changes       []time.Time // of the leadership, lately
 }
 
 func (n *Node) startElection() {
@@ -49,6 +50,9 @@
 	case bookkeeping.KeyLeader:
 		var l bookkeeping.Leader
 		if json.Unmarshal(value, &l) == nil {
+			if l.Term > e.leader.Term {
+				n.noteChange()
+			}
 			e.leader, e.leaderVersion, e.leaderLease = l, version, 0
 		}
 	case bookkeeping.KeyTerm:
@@ -142,13 +146,39 @@
 	})
 }
 
+// changesCount is how long a change of leaders counts for the next one's lease.
+const changesCount = 20 * time.Second
+
+// noteChange remembers that somebody became leader.
+func (n *Node) noteChange() {
+	e := &n.election
+	e.changes = append(e.changes, n.now)
+	for len(e.changes) > 0 && (len(e.changes) > 4 || n.now.Sub(e.changes[0]) > changesCount) {
+		e.changes = e.changes[1:]
+	}
+}
+
+// leaseTime is the lease that a candidate asks for: twice as long after each
+// recent change, up to four times. A large fleet is most work for a new leader; one
+// that couldn't renew a short lease in time left the same work to the next, and
+// none ever got through with it.
+func (n *Node) leaseTime() time.Duration {
+	recent := 0
+	for _, at := range n.election.changes {
+		if n.now.Sub(at) <= changesCount {
+			recent++
+		}
+	}
+	return n.op.LeaderLease() << min(recent, 2)
+}
+
 // stand tries to become leader: a lease, then one transaction that creates the
 // leader key bound to it and raises the term. Two candidates can't both
 // succeed, and a transaction that arrives late finds another term.
 func (n *Node) stand() {
 	e := &n.election
 	e.standing = true
-	ttl := n.op.LeaderLease()
+	ttl := n.leaseTime()
 	sent := n.now
 	retry := func() {
 		e.standing = false
@@ -180,7 +210,8 @@
 				e.standing = false
 				e.leader, e.leaderVersion, e.leaderLease = record, revision, lease
 				e.term, e.termVersion = term, revision
-				n.becomeLeader(term, revision, lease, sent.Add(ttl-drift(ttl)))
+				n.noteChange()
+				n.becomeLeader(term, revision, lease, ttl, sent.Add(ttl-drift(ttl)))
 				return
 			}
 			// Ending the lease also ends what the transaction may have created,
@@ -197,7 +228,7 @@
 	if !l.alive() {
 		return
 	}
-	ttl := n.op.LeaderLease()
+	ttl := l.ttl
 	sent := n.now
 	n.store("POST", protocol.TouchTarget(l.lease), nil, ttl/2, func(o Outcome) {
 		if !l.alive() {
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -33,11 +33,13 @@
 	term       uint64
 	version    uint64 // of the leader key; every write of ours demands it
 	lease      uint64
-	validUntil time.Time // until when no one else can have been elected
-	deaf       time.Time // last time that silence of workers said nothing
-	watched    time.Time // when the machines were last looked at
-	loadedAt   time.Time // when the records were read
-	muted      bool      // the grace beyond that is over, too
+	ttl        time.Duration // of the lease
+	validUntil time.Time     // until when no one else can have been elected
+	deaf       time.Time     // last time that silence of workers said nothing
+	watched    time.Time     // when the machines were last looked at
+	askFrom    int           // which of the machines to be asked comes next
+	loadedAt   time.Time     // when the records were read
+	muted      bool          // the grace beyond that is over, too
 	elected    time.Time
 	phase      phase
 	settled    time.Time
@@ -56,7 +58,10 @@
 	preferred  string // zone last recorded as the better one for leaders
 	placeAsked bool
 	checkAsked bool
-	stepDirect []*machine // machines with orders to send at the end of the step
+	roomiest   float64     // most CPUs that a machine had free at the start of the round
+	opened     []*machine  // that took tasks at the start of the round
+	ranked     []candidate // reused by every job's turn
+	stepDirect []*machine  // machines with orders to send at the end of the step
 }
 
 // usage is what a team's attempts take, those not proven gone included.
@@ -140,8 +145,8 @@
 	task int
 }
 
-func (n *Node) becomeLeader(term, version, lease uint64, validUntil time.Time) {
-	l := &lead{n: n, term: term, version: version, lease: lease, validUntil: validUntil, elected: n.now, phase: loading,
+func (n *Node) becomeLeader(term, version, lease uint64, ttl time.Duration, validUntil time.Time) {
+	l := &lead{n: n, term: term, version: version, lease: lease, ttl: ttl, validUntil: validUntil, elected: n.now, phase: loading,
 		jobs: map[string]*job{}, teams: map[string]*usage{}, stopped: map[string]usage{}, bias: map[string]float64{}, machines: map[string]*machine{},
 		gone: map[string]time.Time{}}
 	for name := range n.teams {
@@ -175,9 +180,12 @@
 // cancellation may meanwhile be accepted elsewhere, and its tasks end a worker
 // lease after the last answer: lease, grace and worker lease together stay
 // within the time a cancellation has.
-func (l *lead) grace() time.Duration {
-	c := l.n.cfg
-	return max(0, c.CancelWithin-c.WorkerLease-drift(2*c.WorkerLease)-l.n.op.LeaderLease()-2*time.Second)
+func (l *lead) grace() time.Duration { return l.n.graceAfter(l.ttl) }
+
+// graceAfter is the grace of a leader with a lease of the given time.
+func (n *Node) graceAfter(lease time.Duration) time.Duration {
+	c := n.cfg
+	return max(0, c.CancelWithin-c.WorkerLease-drift(2*c.WorkerLease)-lease-2*time.Second)
 }
 
 // entitled reports whether this node may still answer workers.
@@ -188,7 +196,7 @@
 // own grace ended.
 func (l *lead) silentProof(m *machine) time.Time {
 	c := l.n.cfg
-	last := l.elected.Add(l.grace())
+	last := l.elected.Add(l.n.graceAfter(l.n.op.LeaderLease())) // the longest that it may have been
 	if !m.tookOver.IsZero() {
 		// It has seen our token and takes no other's answer any more. Until then an
 		// earlier leader's may have renewed its lease: a token that came with a
@@ -624,6 +632,9 @@
 	l.placeAsked = true
 	// The more jobs there are, the dearer a round is, and the more it can place.
 	delay := 8*time.Millisecond + time.Duration(len(l.order))*50*time.Microsecond
+	if l.n.behind() {
+		delay += l.n.lag / 2
+	}
 	l.n.after(delay, func() {
 		if l.alive() {
 			l.placeAsked = false
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -634,6 +634,7 @@
 
 const (
 	watchInterval = 250 * time.Millisecond
+	probesAtOnce  = 24
 	// A worker that has seen a new token reports again within half a second.
 	tokenSoon = 700 * time.Millisecond
 	// Reports wait unread while the process does nothing, and then all machines
@@ -648,12 +649,14 @@
 	stalled := n.now.Sub(l.watched) > stallAfter
 	l.watched = n.now
 	if l.phase == settling && n.now.Sub(l.loadedAt) > askAfter {
+		var ask []*machine
 		for _, m := range l.fleetList {
 			// One that came by itself soon shows our token in its next report.
 			if m.reached.IsZero() && (!m.up && m.inherited || m.up && n.now.Sub(m.firstHeard) > tokenSoon) {
-				l.probe(m)
+				ask = append(ask, m)
 			}
 		}
+		l.probeSome(ask)
 	}
 	if l.phase != active {
 		return
@@ -664,7 +667,7 @@
 		l.deaf = n.now
 		return
 	}
-	var silent []*machine
+	var silent, ask []*machine
 	zones := map[string]*reach{}
 	lost, known := 0, 0
 	for _, m := range l.fleetList {
@@ -700,12 +703,13 @@
 			}
 		}
 		if d > probeAfter || m.up && m.reached.IsZero() || out > l.reachAfter() || m.probeFails > 0 {
-			l.probe(m)
+			ask = append(ask, m)
 		}
 		if d > l.releaseAfter() || d > giveUpAfter && m.probeFails >= 3 || out > l.deafAfter() && m.probeFails >= 4 {
 			silent = append(silent, m)
 		}
 	}
+	l.probeSome(ask)
 	// Only machines that this leader has heard count: when those are lost to it,
 	// another node may still reach them. Where it doesn't, it won't have heard them
 	// either and stays. Counting all, leaders of a cluster that had lost most
@@ -750,6 +754,25 @@
 	return false
 }
 
+// probeSome asks some of the machines that are to be asked, others the next time:
+// asking hundreds at once takes longer than the answers are waited for.
+func (l *lead) probeSome(list []*machine) {
+	most := probesAtOnce
+	if l.n.behind() {
+		most /= 3
+	}
+	for i := range list {
+		if most == 0 {
+			l.askFrom += i
+			return
+		}
+		if m := list[(l.askFrom+i)%len(list)]; !m.probing {
+			l.probe(m)
+			most--
+		}
+	}
+}
+
 // probe asks a worker for its state: it may be reporting to another node, its
 // reports may be lost, or nothing of ours may reach it.
 func (l *lead) probe(m *machine) {
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -18,7 +18,7 @@
 	n := New(cfg, config.DefaultOperator(), slog.New(slog.DiscardHandler), 1, now)
 	n.setTypes([]protocol.MachineType{{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 3, FetchRate: 1, Price: 1, SpotPrice: 0.5,
 		Boot: 10 * time.Second, Zones: []string{"a"}}})
-	n.becomeLeader(1, 10, 5, now.Add(time.Hour))
+	n.becomeLeader(1, 10, 5, 2*time.Second, now.Add(time.Hour))
 	n.lead.phase = p
 	n.take()
 	return n, n.lead
@@ -93,19 +93,24 @@
 		list = append(list, m)
 	}
 	list[0].cpus, list[1].cpus, list[2].cpus = 2, 0, 1
-	if got := l.best(j); got != list[1] {
+	l.roomiest, l.opened = 4, list
+	best := func() *machine {
+		c := l.candidates(j)
+		return c.list[c.best(j)].machine
+	}
+	if got := best(); got != list[1] {
 		t.Errorf("without images: %s", got.name)
 	}
 	list[0].images.add("a", 1, 3)
-	if got := l.best(j); got != list[0] {
+	if got := best(); got != list[0] {
 		t.Errorf("with the image on vm-1: %s", got.name)
 	}
 	list[0].emptying = true
-	if got := l.best(j); got != list[1] {
+	if got := best(); got != list[1] {
 		t.Errorf("with vm-1 being emptied: %s", got.name)
 	}
 	list[1].cpus, list[2].cpus = 4, 4
-	if got := l.best(j); got != list[0] || list[0].emptying {
+	if got := best(); got != list[0] {
 		t.Errorf("with room only there: %s", got.name)
 	}
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -84,6 +84,7 @@
 	boot uint64
 
 	now    time.Time
+	lag    time.Duration // of the last timer, behind its time
 	out    Effects
 	calls  map[uint64]func(Outcome)
 	lastID uint64
@@ -148,6 +149,9 @@
 // Tick runs the timers that are due.
 func (n *Node) Tick(now time.Time) Effects {
 	n.now = now
+	if next := n.Next(); !next.IsZero() {
+		n.lag = max(0, now.Sub(next))
+	}
 	for len(n.timers) > 0 && !n.timers[0].at.After(now) {
 		t := heap.Pop(&n.timers).(*timer)
 		if t.run != nil {
@@ -157,6 +161,18 @@
 	return n.take()
 }
 
+// Lags that tell that the process has more to do than its share of the processor
+// allows. Past the first, work that can wait does; past the second, users who only
+// ask are sent away at once, so that the leader's lease, reports and submissions
+// are served: a leader that loses its lease for being late leaves the next one with
+// even more to do.
+const (
+	lagBehind = 150 * time.Millisecond
+	lagFar    = time.Second
+)
+
+func (n *Node) behind() bool { return n.lag > lagBehind }
+
 // Next is when Tick is due; zero when nothing is planned.
 func (n *Node) Next() time.Time {
 	if len(n.timers) == 0 {
--- /dev/null
+++ b/internal/coordination/overload_test.go
@@ -0,0 +1,104 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// Leaders of a large fleet that lost a short lease for being busy left the same
+// work to the next one, and none ever got through with it.
+func TestLeaseGrowsWithChanges(t *testing.T) {
+	n, l := leading(active)
+	base := n.op.LeaderLease()
+	n.stepDown("test")
+	n.election.changes = nil
+	if got := n.leaseTime(); got != base {
+		t.Errorf("after a calm time %s, want %s", got, base)
+	}
+	for i, want := range []time.Duration{2 * base, 4 * base, 4 * base} {
+		n.noteChange()
+		if got := n.leaseTime(); got != want {
+			t.Errorf("after %d changes %s, want %s", i+1, got, want)
+		}
+	}
+	n.now = n.now.Add(changesCount + time.Second)
+	if got := n.leaseTime(); got != base {
+		t.Errorf("after a calm time again %s, want %s", got, base)
+	}
+	// The longer a leader's lease, the shorter its grace: together with a worker's
+	// lease they stay within the time that a cancellation has.
+	l.ttl = 4 * base
+	if sum := l.ttl + l.grace() + n.cfg.WorkerLease; sum > n.cfg.CancelWithin {
+		t.Errorf("lease, grace and worker's lease take %s of %s", sum, n.cfg.CancelWithin)
+	}
+}
+
+// Hundreds of silent machines are asked a few at a time, and all in turn.
+func TestProbesArePaced(t *testing.T) {
+	_, l := largeLead(0)
+	for turn := range 1 + benchMachines/probesAtOnce {
+		before := len(l.n.out.Calls)
+		l.probeSome(l.fleetList)
+		if asked := len(l.n.out.Calls) - before; asked > probesAtOnce {
+			t.Fatalf("turn %d: %d machines asked at once", turn, asked)
+		}
+	}
+	for _, m := range l.fleetList {
+		if !m.probing {
+			t.Fatalf("%s is not asked", m.name)
+		}
+	}
+}
+
+// A node that is far behind sends away users who only ask, and serves the rest.
+func TestFarBehindShedsPolls(t *testing.T) {
+	n, _ := leading(active)
+	n.admission.setKnown("run-000001")
+	n.lag = 2 * lagFar
+	e := n.Request(n.now, 1, "GET", protocol.PathJobs+"/run-000001", nil)
+	if len(e.Replies) != 1 || e.Replies[0].Status != 503 || e.Replies[0].RetryAfter == 0 {
+		t.Errorf("a poll: %+v", e.Replies)
+	}
+	e = n.Request(n.now, 2, "POST", protocol.PathJobs, protocol.EncodeJob(benchJob(2)))
+	if len(e.Replies) != 0 || len(e.Calls) == 0 {
+		t.Errorf("a submission: %+v, %d calls", e.Replies, len(e.Calls))
+	}
+}
+
+// One job of the largest size takes neither the memory nor the time of the others.
+func TestHugeJob(t *testing.T) {
+	_, l := largeLead(20)
+	huge := benchJob(2)
+	huge.ID, huge.Tasks = "run-999999", protocol.MaxTasks
+	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(l.n.now.Add(-time.Second)), Chunk: 96, Spec: huge})
+	allocated := testing.AllocsPerRun(1, func() { fill(l) })
+	j := l.jobs[huge.ID]
+	made := 0
+	for _, c := range j.chunks {
+		if c != nil {
+			made++
+		}
+	}
+	if most := (j.live+95)/96 + 1; made > most {
+		t.Errorf("%d chunks in memory for %d live tasks", made, j.live)
+	}
+	for _, o := range l.order {
+		if o != j && o.live == 0 {
+			t.Errorf("%s got nothing beside the huge job", o.ID)
+		}
+	}
+	if j.live == 0 {
+		t.Error("the huge job got nothing")
+	}
+	if allocated > 200_000 {
+		t.Errorf("%.0f allocations", allocated)
+	}
+	if len(l.fleet.unmet) > 0 && l.fleet.unmet[0].left < 0 {
+		t.Errorf("unmet: %s", strings.TrimSpace(fmt.Sprint(l.fleet.unmet[0].left)))
+	}
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -18,8 +18,13 @@
 	order := l.waitingOrder()
 	l.fleet.unmet = l.fleet.unmet[:0]
 	l.countStopping()
+	l.roomiest, l.opened = 0, l.opened[:0]
 	for _, m := range l.fleetList {
 		m.promised, m.promisedMem = usage{}, 0
+		if l.open(m) {
+			l.roomiest = max(l.roomiest, m.spec.CPUs-m.cpus)
+			l.opened = append(l.opened, m)
+		}
 	}
 	for _, j := range order {
 		left := l.placeJob(j)
@@ -276,6 +281,7 @@
 		return l.placeGang(j)
 	}
 	held := 0 // tasks that wait for room on machines with their image
+	c := l.candidates(j)
 	for j.toStart() > held && l.journal.unsaved < maxUnrecorded {
 		if !l.underLimit(j) {
 			l.makeLimitRoom(j)
@@ -285,15 +291,18 @@
 		if i >= j.Tasks {
 			return 0
 		}
-		m := l.best(j)
-		if m == nil {
+		k := c.best(j)
+		if k < 0 {
 			break
 		}
+		m := c.list[k].machine
 		if l.slowStart(j, m) && l.makeHolderRoom(j) {
 			held++
 			continue
 		}
 		l.assign(j, i, m)
+		m.emptying = false // it is needed after all
+		c.again(l, j, k)
 	}
 	left := j.toStart() - held
 	if u, t := l.teams[j.Team], l.n.teams[j.Team]; j.CPUs > 0 {
@@ -311,15 +320,18 @@
 	}
 	var chosen []*machine
 	u := l.teams[j.Team]
+	c := l.candidates(j)
 	for len(chosen) < need && l.underLimit(j) {
-		m := l.best(j)
-		if m == nil {
+		k := c.best(j)
+		if k < 0 {
 			break
 		}
+		m := c.list[k].machine
 		chosen = append(chosen, m)
 		m.cpus, m.gpus, m.mem = m.cpus+j.CPUs, m.gpus+j.GPUs, m.mem+j.MemGB
 		u.cpus, u.gpus = u.cpus+j.CPUs, u.gpus+j.GPUs
 		j.zones[m.zone]++
+		c.again(l, j, k)
 	}
 	for _, m := range chosen {
 		m.cpus, m.gpus, m.mem = m.cpus-j.CPUs, m.gpus-j.GPUs, m.mem-j.MemGB
@@ -333,6 +345,7 @@
 	}
 	for _, m := range chosen {
 		l.assign(j, j.peekTask(), m)
+		m.emptying = false
 	}
 	return 0
 }
@@ -346,33 +359,72 @@
 	l.journal.start(a)
 }
 
-// best is the machine with the highest score; ties go to more free room.
-// Machines that are being emptied come only after all others.
-func (l *lead) best(j *job) *machine {
-	if m := l.bestOf(j, false); m != nil {
-		return m
-	}
-	m := l.bestOf(j, true)
-	if m != nil {
-		m.emptying = false // it is needed after all
-	}
-	return m
+// candidate is a machine with room for a task and what ranks it.
+type candidate struct {
+	machine     *machine
+	score, room float64
+	emptying    bool
 }
 
-func (l *lead) bestOf(j *job, emptying bool) *machine {
-	var best *machine
-	var bestScore, bestRoom float64
-	for _, m := range l.fleetList {
-		if m.emptying != emptying || !l.open(m) || !m.hasRoom(j.Job) || !m.allowed(j.Job) || !j.zoneAllows(m.zone) {
-			continue
+// candidates are the machines that may take tasks of a job. They are scored once,
+// not once per task: placing one changes the score of its own machine alone.
+type candidates struct{ list []candidate }
+
+// candidates finds the machines that a job's tasks may be placed on now.
+func (l *lead) candidates(j *job) candidates {
+	l.ranked = l.ranked[:0]
+	// In a full fleet, or while enough waits to be recorded, no machine needs to be
+	// looked at.
+	if j.CPUs <= l.roomiest+protocol.Epsilon && l.journal.unsaved < maxUnrecorded {
+		for _, m := range l.opened {
+			if l.takes(m, j) {
+				l.ranked = append(l.ranked, l.rank(m, j))
+			}
 		}
-		if m.failures[j.ID] > 0 && len(j.failedOn) < 3 {
+	}
+	return candidates{l.ranked}
+}
+
+// takes reports whether an open machine may take one more task of a job, zones
+// aside.
+func (l *lead) takes(m *machine, j *job) bool {
+	return m.hasRoom(j.Job) && m.allowed(j.Job) && !(m.failures[j.ID] > 0 && len(j.failedOn) < 3)
+}
+
+func (l *lead) rank(m *machine, j *job) candidate {
+	return candidate{m, l.score(m, j), m.spec.CPUs - m.cpus, m.emptying}
+}
+
+// best is the index of the machine with the highest score, -1 without any; ties go
+// to more free room. Machines that are being emptied come only after all others.
+func (c *candidates) best(j *job) int {
+	best := -1
+	for i := range c.list {
+		k := &c.list[i]
+		if !j.zoneAllows(k.machine.zone) {
 			continue
 		}
-		s, room := l.score(m, j), m.spec.CPUs-m.cpus
-		if best == nil || s > bestScore+protocol.Epsilon || s > bestScore-protocol.Epsilon && room > bestRoom {
-			best, bestScore, bestRoom = m, s, room
+		if best < 0 || k.before(&c.list[best]) {
+			best = i
 		}
 	}
 	return best
 }
+
+func (k *candidate) before(o *candidate) bool {
+	if k.emptying != o.emptying {
+		return o.emptying
+	}
+	return k.score > o.score+protocol.Epsilon || k.score > o.score-protocol.Epsilon && k.room > o.room
+}
+
+// again looks anew at a machine that was given a task.
+func (c *candidates) again(l *lead, j *job, i int) {
+	if m := c.list[i].machine; l.takes(m, j) {
+		c.list[i] = l.rank(m, j)
+		return
+	}
+	last := len(c.list) - 1
+	c.list[i] = c.list[last]
+	c.list = c.list[:last]
+}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -165,8 +165,8 @@
 	var best *machine
 	var bestVictims []*attempt
 	bestCost := 0.0
-	for _, m := range l.fleetList {
-		if !l.open(m) || !m.allowed(j.Job) || !j.zoneAllows(m.zone) || m.failures[j.ID] > 0 {
+	for _, m := range l.opened {
+		if !m.allowed(j.Job) || !j.zoneAllows(m.zone) || m.failures[j.ID] > 0 {
 			continue
 		}
 		if holders && m.images.bytes(j.Image) < j.ImageGB {
