--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -147,7 +147,7 @@
 }
 
 // changesCount is how long a change of leaders counts for the next one's lease.
-const changesCount = 20 * time.Second
+const changesCount = 15 * time.Second
 
 // noteChange remembers that somebody became leader.
 func (n *Node) noteChange() {
@@ -158,10 +158,10 @@
 	}
 }
 
-// leaseTime is the lease that a candidate asks for: twice as long after each
-// recent change, up to four times. A large fleet is most work for a new leader; one
-// that couldn't renew a short lease in time left the same work to the next, and
-// none ever got through with it.
+// leaseTime is the lease that a candidate asks for: twice as long after a recent
+// change, four times after three of them. A large fleet is most work for a new
+// leader; one that couldn't renew a short lease in time left the same work to the
+// next, and none ever got through with it.
 func (n *Node) leaseTime() time.Duration {
 	recent := 0
 	for _, at := range n.election.changes {
@@ -169,7 +169,13 @@
 			recent++
 		}
 	}
-	return n.op.LeaderLease() << min(recent, 2)
+	switch {
+	case recent == 0:
+		return n.op.LeaderLease()
+	case recent < 3:
+		return 2 * n.op.LeaderLease()
+	}
+	return 4 * n.op.LeaderLease()
 }
 
 // stand tries to become leader: a lease, then one transaction that creates the
