--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -196,3 +196,25 @@
 		t.Errorf("a copy long after the machine's end: status %d", r.Status)
 	}
 }
+
+// A worker that answers under an older session than it was asked in has lost its
+// memory, and its machine is replaced; an answer that a newer session has overtaken
+// says nothing of the kind.
+func TestWorkerBeganAnew(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		n, l := leading(active)
+		m := l.newMachine("vm-1", "small", "a", false)
+		m.up, m.recorded, m.addr, m.reached, m.session, m.seq = true, true, "x", n.now, 2, 50
+		if !lost {
+			m.session = 1
+		}
+		l.probe(m)
+		call := n.take().Calls[0]
+		m.session = 2
+		body := protocol.EncodeReport(&protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: 60})
+		n.Result(n.now, call.ID, Outcome{Answered: true, Status: 200, Body: body})
+		if m.releasing != lost || m.session != 2 {
+			t.Errorf("lost %t: to be returned %t, session %d", lost, m.releasing, m.session)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/returns.go
@@ -0,0 +1,255 @@
+package coordination
+
+import (
+	"sort"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// shrink returns machines that are not needed: empty ones beyond the headroom,
+// ones that never came up, and ones given up.
+func (l *lead) shrink() {
+	n := l.n
+	used, free, fixedRoom := 0.0, 0.0, 0.0
+	for _, m := range l.fleetList {
+		if m.spec != nil && m.up && !m.draining && !m.releasing {
+			used += m.cpus
+			if !m.emptying {
+				free += m.spec.CPUs - m.cpus
+				fixedRoom += l.fixedRoom(m)
+			}
+		}
+	}
+	want := l.headroom(used)
+	fixedNeed := l.fixedNeed()
+	var candidates []*machine
+	for _, m := range append([]*machine(nil), l.fleetList...) {
+		if m.releasing {
+			continue
+		}
+		age := n.now.Sub(m.rented)
+		switch {
+		case !m.up && m.spec != nil && len(m.attempts) == 0 && age > max(m.spec.Boot*bootPatience, m.spec.Boot+bootPatienceAt):
+			l.release(m, "never came up")
+		case m.draining && len(m.attempts) == 0:
+			l.release(m, "drained")
+		case m.spec == nil && m.up && len(m.attempts) == 0:
+			l.release(m, "unknown type")
+		case !m.noticeAt.IsZero() && n.now.After(m.noticeAt.Add(2*time.Second)) && len(m.attempts) == 0:
+			l.release(m, "taken")
+		case m.emptying && len(m.attempts) == 0 && age > minimumCharge && n.now.Sub(m.emptySince) > n.op.Idle():
+			l.release(m, "not needed")
+		case m.emptying && m.onlyServices() && !l.canMove(m, map[*machine]room{}):
+			m.emptying = false // it stays for its replicas, so others may use it, too
+		case m.up && m.recorded && m.spec != nil && !m.draining && !m.emptying && m.noticeAt.IsZero():
+			candidates = append(candidates, m)
+		}
+	}
+	// Tasks spread over all machines: waiting for one to be empty by chance
+	// would keep them all.
+	dearestFirst(candidates)
+	taken := map[*machine]room{}
+	for _, m := range candidates {
+		room := l.fixedRoom(m)
+		if free-(m.spec.CPUs-m.cpus) < want+m.cpus || room > 0 && fixedRoom-room < fixedNeed {
+			continue
+		}
+		// Replicas would hold it for long, unless they can go elsewhere.
+		if m.services > 0 && (m.services > m.spec.CPUs/2+protocol.Epsilon || !l.canMove(m, taken)) {
+			continue
+		}
+		free -= m.spec.CPUs - m.cpus
+		fixedRoom -= room
+		m.emptying = true
+		n.log.Debug("emptying machine", "machine", m.name, "cpus", m.cpus)
+	}
+}
+
+// fixedNeed is the room kept on ordinary machines for the next service.
+func (l *lead) fixedNeed() float64 {
+	if l.quickStarts() {
+		return l.fleet.fixedNeed
+	}
+	return 0
+}
+
+// movesAtOnce is the part of the fleet whose replicas are moved in one turn, as a
+// divisor.
+const movesAtOnce = 30
+
+// consolidate moves the replicas of little used machines to others that hold
+// their images, where all of them find room, so that these can be returned.
+// Services stay for long, and what they were spread over when the cluster was
+// busy would stay with them. A move takes a moment: the image is there.
+func (l *lead) consolidate() {
+	n := l.n
+	if len(l.fleet.unmet) > 0 || n.storeDown() || n.now.Sub(l.fleet.movedAt) < movePause {
+		return
+	}
+	fixedRoom := 0.0
+	var candidates []*machine
+	for _, m := range l.fleetList {
+		if !l.open(m) {
+			continue
+		}
+		if !m.emptying {
+			fixedRoom += l.fixedRoom(m)
+		}
+		if m.onlyServices() && (m.emptying || m.cpus <= m.spec.CPUs/2+protocol.Epsilon) && n.now.Sub(m.rented) > 2*minimumCharge {
+			candidates = append(candidates, m)
+		}
+	}
+	dearestFirst(candidates)
+	left := max(1, len(l.fleetList)/movesAtOnce)
+	taken := map[*machine]room{}
+	for _, m := range candidates {
+		if left == 0 {
+			return
+		}
+		if _, target := taken[m]; target {
+			continue
+		}
+		if room := l.fixedRoom(m); !m.emptying && room > 0 && fixedRoom-m.spec.CPUs < l.fixedNeed() {
+			continue
+		}
+		if !l.canMove(m, taken) {
+			continue
+		}
+		n.log.Info("moving replicas", "machine", m.name, "attempts", len(m.attempts))
+		if !m.emptying {
+			fixedRoom -= l.fixedRoom(m)
+		}
+		l.fleet.movedAt = n.now
+		m.emptying = true
+		left--
+		for _, a := range m.sorted() {
+			l.stopAttempt(a, 0)
+		}
+	}
+}
+
+// room is what a machine gives to replicas that are to move there.
+type room struct{ cpus, gpus, mem float64 }
+
+// canMove reports whether each replica on a machine runs and finds room and its
+// image elsewhere, beside what is taken already, and takes that room if so.
+func (l *lead) canMove(m *machine, taken map[*machine]room) bool {
+	plan := map[*machine]room{}
+	for _, a := range m.sorted() {
+		j := a.job
+		if j.Kind != protocol.Service {
+			continue
+		}
+		if a.state != protocol.Running || a.stop || j.toStart() > 0 {
+			return false
+		}
+		found := false
+		for _, o := range l.fleetList {
+			t, planned := plan[o]
+			if !planned {
+				t = taken[o]
+			}
+			if o == m || o.emptying || !l.open(o) || !o.allowed(j.Job) || o.zone != m.zone || o.images.bytes(j.Image) == 0 ||
+				o.cpus+t.cpus+j.CPUs > o.spec.CPUs+protocol.Epsilon || o.gpus+t.gpus+j.GPUs > o.spec.GPUs+protocol.Epsilon ||
+				o.mem+t.mem+j.MemGB > o.spec.MemGB+protocol.Epsilon {
+				continue
+			}
+			plan[o] = room{t.cpus + j.CPUs, t.gpus + j.GPUs, t.mem + j.MemGB}
+			found = true
+			break
+		}
+		if !found {
+			return false
+		}
+	}
+	for o, t := range plan {
+		taken[o] = t
+	}
+	return true
+}
+
+// fixedRoom is the room on an ordinary machine that work which may not use
+// spot machines can have, other work giving way.
+func (l *lead) fixedRoom(m *machine) float64 {
+	if m.spot {
+		return 0
+	}
+	room := m.spec.CPUs
+	for _, a := range m.attempts {
+		if !a.job.Spot {
+			room -= a.job.CPUs
+		}
+	}
+	return max(room, 0)
+}
+
+// onlyServices reports whether replicas are all that is left on a machine.
+func (m *machine) onlyServices() bool {
+	for _, a := range m.attempts {
+		if a.job.Kind != protocol.Service {
+			return false
+		}
+	}
+	return len(m.attempts) > 0
+}
+
+// dearestFirst orders machines by price, the emptiest first among equals.
+func dearestFirst(list []*machine) {
+	sort.SliceStable(list, func(i, k int) bool {
+		a, b := list[i], list[k]
+		if pa, pb := a.pricePerCPU(), b.pricePerCPU(); pa != pb {
+			return pa > pb
+		}
+		return a.cpus < b.cpus
+	})
+}
+
+func (m *machine) pricePerCPU() float64 {
+	return offer{spec: m.spec, spot: m.spot}.price() / m.spec.CPUs
+}
+
+// release returns a machine. The answer proves that it and all on it is gone.
+func (l *lead) release(m *machine, why string) {
+	if m.releasing || m.removed {
+		return
+	}
+	m.releasing = true
+	l.n.log.Info("returning machine", "machine", m.name, "why", why, "attempts", len(m.attempts), "silent", l.n.now.Sub(m.heard))
+	l.sendReleases()
+}
+
+func (l *lead) sendReleases() {
+	n, f := l.n, &l.fleet
+	if f.releasing {
+		return
+	}
+	var names []string
+	var list []*machine
+	for _, m := range l.fleetList {
+		if m.releasing && n.now.Sub(m.releaseAt) > releaseRetry && len(names) < protocol.MaxRelease {
+			names = append(names, m.name)
+			list = append(list, m)
+		}
+	}
+	if len(names) == 0 || !f.budget.Take(n.now, 1) {
+		return
+	}
+	for _, m := range list {
+		m.releaseAt = n.now
+	}
+	f.releasing = true
+	n.call(Cloud, "", "POST", protocol.PathRelease, protocol.ReleaseBody(names), cloudTimeout, func(out Outcome) {
+		if !l.alive() {
+			return
+		}
+		f.releasing = false
+		if out.Answered && out.Status == 200 {
+			for _, m := range list {
+				l.machineGone(m, "returned")
+			}
+			l.askPlace()
+			l.sendReleases()
+		}
+	})
+}
