--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -138,8 +138,8 @@
 // ones, that fills the cluster kept large and low ones from ever beginning. What
 // may be stopped for a job doesn't change by its wait.
 const (
-	overdueAfter = 100 * time.Second
-	agingStep    = 150 * time.Second
+	overdueAfter = 170 * time.Second
+	agingStep    = 6 * time.Minute
 )
 
 // turn is the job's rank, the wait for a first task considered.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -121,7 +121,11 @@
 	}
 	held := 0 // tasks that wait for room on machines with their image
 	c := l.candidates(j)
-	for j.toStart() > held && l.journal.unsaved < maxUnrecorded {
+	most := j.toStart()
+	if j.turn(l.n.now.Round(0)) < j.rank() {
+		most = min(most, (j.Tasks+9)/10) // it begins; the rest waits in its own turn
+	}
+	for placed := 0; placed < most && j.toStart() > held && l.journal.unsaved < maxUnrecorded; placed++ {
 		if !l.underLimit(j) {
 			l.makeLimitRoom(j)
 			return 0 // more machines wouldn't help
