--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -82,6 +82,7 @@
 		n.health(id)
 		return
 	case protocol.RouteReport:
+		n.count.Reports++
 		n.report(id, body)
 		return
 	}
@@ -91,8 +92,10 @@
 	}
 	switch route {
 	case protocol.RouteJobs:
+		n.count.Submissions++
 		n.submit(id, body)
 	case protocol.RouteJob:
+		n.count.Polls++
 		n.poll(id, job)
 	case protocol.RouteCancel:
 		n.cancel(id, job)
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -110,3 +110,43 @@
 		l.consolidate()
 	}
 }
+
+// BenchmarkSubmit takes a submission in and the answer of the state service.
+func BenchmarkSubmit(b *testing.B) {
+	n, _ := largeLead(benchJobs)
+	body := protocol.EncodeJob(benchJob(2))
+	committed := protocol.EncodeRevision(7)
+	id := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		e := n.Request(n.now, id, "POST", protocol.PathJobs, body)
+		for _, c := range e.Calls {
+			n.Result(n.now, c.ID, Outcome{Answered: true, Status: 200, Body: committed})
+		}
+	}
+}
+
+// BenchmarkPolls takes forty polls in, which one transaction checks.
+func BenchmarkPolls(b *testing.B) {
+	n, _ := largeLead(benchJobs)
+	committed := protocol.EncodeRevision(7)
+	for i := range 40 {
+		n.admission.setKnown(benchJob(i).ID)
+	}
+	id := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		for i := range 40 {
+			id++
+			e := n.Request(n.now, id, "GET", fmt.Sprintf("%s/%s", protocol.PathJobs, benchJob(i).ID), nil)
+			for _, c := range e.Calls {
+				n.Result(n.now, c.ID, Outcome{Answered: true, Status: 200, Body: committed})
+			}
+		}
+		e := n.Tick(n.now.Add(20 * time.Millisecond))
+		for _, c := range e.Calls {
+			n.Result(n.now, c.ID, Outcome{Answered: true, Status: 200, Body: committed})
+		}
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -122,7 +122,8 @@
 	l.logFleet()
 }
 
-// logFleet tells now and then what the machines are used for.
+// logFleet tells now and then what the machines are used for, and what came in and
+// went out since the last time.
 func (l *lead) logFleet() {
 	n, f := l.n, &l.fleet
 	if n.now.Sub(f.loggedAt) < 5*time.Second {
@@ -150,7 +151,9 @@
 			u.pinned++
 		}
 	}
-	n.log.Debug("fleet", "machines", len(l.fleetList), "spot", fmt.Sprintf("%+v", spot), "fixed", fmt.Sprintf("%+v", fixed), "unmet", len(f.unmet))
+	n.log.Debug("fleet", "machines", len(l.fleetList), "spot", fmt.Sprintf("%+v", spot), "fixed", fmt.Sprintf("%+v", fixed), "unmet", len(f.unmet),
+		"traffic", fmt.Sprintf("%+v", n.count))
+	n.count = traffic{}
 }
 
 // choosePlace keeps the leader in the zone that holds most machines, so that
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -75,6 +75,9 @@
 // part in.
 const proofMargin = 500 * time.Millisecond
 
+// traffic counts requests in and calls out, for the log.
+type traffic struct{ Reports, Polls, Submissions, ToState, ToCloud, ToWorkers int }
+
 // Node is one controller.
 type Node struct {
 	cfg  *config.Settings
@@ -83,6 +86,7 @@
 	rng  *rand.Rand
 	boot uint64
 
+	count  traffic
 	now    time.Time
 	lag    time.Duration // of the last timer, behind its time
 	out    Effects
@@ -202,6 +206,14 @@
 func (n *Node) call(to Service, addr, method, target string, body []byte, timeout time.Duration, done func(Outcome)) {
 	n.lastID++
 	n.calls[n.lastID] = done
+	switch to {
+	case State:
+		n.count.ToState++
+	case Cloud:
+		n.count.ToCloud++
+	case Worker:
+		n.count.ToWorkers++
+	}
 	n.out.Calls = append(n.out.Calls, Call{ID: n.lastID, To: to, Addr: addr, Method: method, Target: target,
 		Body: body, Timeout: timeout})
 }
