--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -10,17 +10,19 @@
 	"brasskeel/internal/protocol"
 )
 
-// Sizes of the benchmarks: a fleet of hundreds of machines with thousands of
+// Sizes of the benchmarks: a fleet of 1,600 machines with tens of thousands of
 // tasks. What an event costs must not grow with them more than it has to.
 const (
-	benchMachines = 300
-	benchJobs     = 200
+	benchMachines = 1600
+	benchJobs     = 600
 )
 
 // largeLead is a leader of a large, empty fleet with many waiting jobs.
 func largeLead(jobs int) (*Node, *lead) {
 	n, l := leading(active)
-	n.teams["red"] = &config.Team{Name: "red", CPUs: 2000, CPUsMax: 1e6}
+	n.teams["red"] = &config.Team{Name: "red", CPUs: 14000, CPUsMax: 1e6}
+	n.teams["blue"] = &config.Team{Name: "blue", CPUs: 3000, CPUsMax: 1e6}
+	l.teams["blue"] = &usage{}
 	n.setTypes([]protocol.MachineType{{Name: "small", CPUs: 16, MemGB: 128, CacheGB: 35, FetchRate: 1, Price: 1, SpotPrice: 0.5,
 		Boot: 10 * time.Second, Zones: []string{"a"}}})
 	for i := range benchMachines {
@@ -40,6 +42,7 @@
 	case 0:
 		j.Kind, j.Priority, j.Tasks, j.CPUs, j.Estimate = protocol.Service, protocol.Critical, 12, 2, 0
 	case 1:
+		j.Team = "blue"
 		j.Priority, j.CPUs, j.Checkpoint, j.Save = protocol.Low, 4, 20*time.Second, 5*time.Second
 	}
 	return j
@@ -47,7 +50,7 @@
 
 // fill places what has room, as often as records allow.
 func fill(l *lead) {
-	for range 20 {
+	for range 60 {
 		l.place()
 		l.journal.unsaved = 0
 	}
--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -1,6 +1,10 @@
 package coordination
 
 import (
+	"cmp"
+	"container/heap"
+	"slices"
+
 	"brasskeel/internal/protocol"
 )
 
@@ -15,69 +19,130 @@
 type candidate struct {
 	machine     *machine
 	score, room float64
+	order       int32 // among those that score the same
 	emptying    bool
 }
 
-// candidates are the machines that may take tasks of a job. They are scored once,
-// not once per task: placing one changes the score of its own machine alone.
+// candidates are the machines that may take tasks of a job, the best one first.
+// They are scored once, not once per task: placing one changes the score of its
+// own machine alone.
 type candidates struct{ list []candidate }
 
 // candidates finds the machines that a job's tasks may be placed on now.
 func (l *lead) candidates(j *job) candidates {
 	l.ranked = l.ranked[:0]
-	// In a full fleet, or while enough waits to be recorded, no machine needs to be
-	// looked at.
-	if j.CPUs <= l.roomiest+protocol.Epsilon && l.journal.unsaved < maxUnrecorded {
-		for _, m := range l.opened {
-			if l.takes(m, j) {
-				l.ranked = append(l.ranked, l.rate(m, j))
-			}
+	s := l.shapeOf(j)
+	// Where nothing found room before, nothing of the same kind and size will, and
+	// while enough waits to be recorded, nothing is to be placed.
+	if l.journal.full() || s.hopeless(l.full) {
+		return candidates{}
+	}
+	l.work += len(l.opened)
+	room := false
+	for i, m := range l.opened {
+		if !m.hasRoom(j.Job) || !m.allowed(j.Job) {
+			continue
+		}
+		room = true
+		if !l.avoids(j, m) {
+			l.ranked = append(l.ranked, l.rate(m, j, int32(i)))
 		}
 	}
-	return candidates{l.ranked}
+	if !room {
+		l.full = append(l.full, s)
+	}
+	c := candidates{l.ranked}
+	heap.Init(&c)
+	return c
+}
+
+// shape is what decides where work finds room: what a task takes and what it may
+// use, and, where other work is to give way, on whose behalf.
+type shape struct {
+	cpus, gpus, mem float64
+	zone            string
+	spot            bool
+	types           []string
+	priority        protocol.Priority
+	rank            int
+	team            string // whose guarantee is asked for
+}
+
+// shapeOf is the shape of a job's tasks without anybody to give way.
+func (l *lead) shapeOf(j *job) shape {
+	return shape{cpus: j.CPUs, gpus: j.GPUs, mem: j.MemGB, zone: j.Zone, spot: j.Spot, types: j.Types}
+}
+
+// hopeless reports whether one of the same kind, and no larger, has found nothing.
+// During a round room is only used up.
+func (s *shape) hopeless(failed []shape) bool {
+	for i := range failed {
+		f := &failed[i]
+		if f.cpus <= s.cpus && f.gpus <= s.gpus && f.mem <= s.mem && f.zone == s.zone && f.spot == s.spot &&
+			f.priority == s.priority && f.rank == s.rank && f.team == s.team && slices.Equal(f.types, s.types) {
+			return true
+		}
+	}
+	return false
 }
 
 // takes reports whether an open machine may take one more task of a job, zones
 // aside.
 func (l *lead) takes(m *machine, j *job) bool {
-	return m.hasRoom(j.Job) && m.allowed(j.Job) && !(m.failures[j.ID] > 0 && len(j.failedOn) < 3)
+	return m.hasRoom(j.Job) && m.allowed(j.Job) && !l.avoids(j, m)
 }
 
-// best is the index of the machine with the highest score, -1 without any; ties go
-// to more free room. Machines that are being emptied come only after all others.
-func (c *candidates) best(j *job) int {
-	best := -1
-	for i := range c.list {
-		k := &c.list[i]
-		if !j.zoneAllows(k.machine.zone) {
-			continue
-		}
-		if best < 0 || k.before(&c.list[best]) {
-			best = i
-		}
-	}
-	return best
+// avoids reports whether a job stays away from a machine that failed it.
+func (l *lead) avoids(j *job, m *machine) bool {
+	return m.failures[j.ID] > 0 && len(j.failedOn) < 3
 }
 
-func (k *candidate) before(o *candidate) bool {
-	if k.emptying != o.emptying {
-		return o.emptying
+// best is the machine with the highest score, nil without any; ties go to more free
+// room. Machines that are being emptied come only after all others.
+func (c *candidates) best(j *job) *machine {
+	for len(c.list) > 0 {
+		if m := c.list[0].machine; j.zoneAllows(m.zone) {
+			return m
+		}
+		// What is placed meanwhile opens no zone to the job again.
+		heap.Pop(c)
 	}
-	return k.score > o.score+protocol.Epsilon || k.score > o.score-protocol.Epsilon && k.room > o.room
+	return nil
 }
 
-// again looks anew at a machine that was given a task.
-func (c *candidates) again(l *lead, j *job, i int) {
-	if m := c.list[i].machine; l.takes(m, j) {
-		c.list[i] = l.rate(m, j)
+// again looks anew at the best machine after it was given a task.
+func (c *candidates) again(l *lead, j *job) {
+	k := &c.list[0]
+	if l.takes(k.machine, j) {
+		*k = l.rate(k.machine, j, k.order)
+		heap.Fix(c, 0)
 		return
 	}
-	last := len(c.list) - 1
-	c.list[i] = c.list[last]
-	c.list = c.list[:last]
+	heap.Pop(c)
 }
 
 // rate gives what ranks a machine for a job.
-func (l *lead) rate(m *machine, j *job) candidate {
-	return candidate{m, l.score(m, j), m.spec.CPUs - m.cpus, m.emptying}
+func (l *lead) rate(m *machine, j *job, order int32) candidate {
+	return candidate{m, l.score(m, j), m.spec.CPUs - m.cpus, order, m.emptying}
+}
+
+func (k *candidate) compare(o *candidate) int {
+	if k.emptying != o.emptying {
+		if o.emptying {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(o.score, k.score), cmp.Compare(o.room, k.room), cmp.Compare(k.order, o.order))
+}
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (c *candidates) Len() int           { return len(c.list) }
+func (c *candidates) Less(i, k int) bool { return c.list[i].compare(&c.list[k]) < 0 }
+func (c *candidates) Swap(i, k int)      { c.list[i], c.list[k] = c.list[k], c.list[i] }
+func (c *candidates) Push(x any)         { c.list = append(c.list, x.(candidate)) }
+func (c *candidates) Pop() any {
+	last := len(c.list) - 1
+	c.list = c.list[:last]
+	return nil
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -51,6 +51,7 @@
 type fleet struct {
 	budget    *bookkeeping.Budget
 	unmet     []demand
+	partly    bool // the last round ended early: unmet isn't all there is
 	asked     bool
 	requests  uint64
 	blocked   map[string]time.Time // offers without capacity
@@ -268,7 +269,7 @@
 // grow rents what the waiting work and the headroom need beyond what boots.
 func (l *lead) grow() {
 	n, f := l.n, &l.fleet
-	if l.phase != active || n.storeDown() || len(n.types) == 0 || !n.now.Before(l.validUntil) {
+	if l.phase != active || n.storeDown() || len(n.types) == 0 || !n.now.Before(l.validUntil) || f.partly {
 		return
 	}
 	for _, k := range f.renting {
--- a/internal/coordination/journal.go
+++ b/internal/coordination/journal.go
@@ -13,8 +13,18 @@
 // that several changes share one write.
 const lazyDelay = 700 * time.Millisecond
 
-// maxUnrecorded bounds the placements that wait to be recorded.
-const maxUnrecorded = 600
+// full reports whether so much waits to be recorded that nothing more is placed:
+// what would be placed now should be chosen among what there is once its record's
+// turn comes. A record holds what was placed of up to 96 tasks of a job, so the
+// bound is the records of about half a second, a few transactions at the least.
+func (g *journal) full() bool {
+	c := g.l.n.cfg
+	return len(g.urgent) >= max(4*c.TxnOps, int(c.StateWriteRPS/2)) || g.unsaved >= maxUnrecorded
+}
+
+// maxUnrecorded bounds the placements that wait to be recorded, so that one round
+// keeps nothing else waiting for long.
+const maxUnrecorded = 2000
 
 // journal writes the leader's records, one transaction at a time so that they
 // apply in order. Every transaction is conditional on the leader key's
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -58,10 +58,16 @@
 	preferred  string // zone last recorded as the better one for leaders
 	placeAsked bool
 	checkAsked bool
-	roomiest   float64     // most CPUs that a machine had free at the start of the round
 	opened     []*machine  // that took tasks at the start of the round
 	ranked     []candidate // reused by every job's turn
-	stepDirect []*machine  // machines with orders to send at the end of the step
+	full       []shape     // found no machine with room in this round
+	stuck      []shape     // found no work to stop in this round
+	options    []option    // reused by every search for work to stop
+	yielding   []*attempt  // reused by every look at a machine's work
+	work       int         // machines looked at in this round
+	reports    uint64      // taken, to tell which attempts the latest one holds
+	imageIDs   map[string]int32
+	stepDirect []*machine // machines with orders to send at the end of the step
 }
 
 // usage is what a team's attempts take, those not proven gone included.
@@ -89,7 +95,7 @@
 	failedOn  map[string]struct{}
 	notBefore time.Time
 	pressing  bool // its patience has a timer
-	started   int  // attempts that ever ran
+	image     int32
 }
 
 // chunk is a run of a job's tasks that share a record.
@@ -138,6 +144,9 @@
 	stop     bool
 	grace    time.Duration
 	stopSent time.Time
+
+	place  int    // in its machine's list
+	report uint64 // the last one that held it
 }
 
 type taskKey struct {
@@ -148,7 +157,7 @@
 func (n *Node) becomeLeader(term, version, lease uint64, ttl time.Duration, validUntil time.Time) {
 	l := &lead{n: n, term: term, version: version, lease: lease, ttl: ttl, validUntil: validUntil, elected: n.now, phase: loading,
 		jobs: map[string]*job{}, teams: map[string]*usage{}, stopped: map[string]usage{}, bias: map[string]float64{}, machines: map[string]*machine{},
-		gone: map[string]time.Time{}}
+		gone: map[string]time.Time{}, imageIDs: map[string]int32{}}
 	for name := range n.teams {
 		l.teams[name] = &usage{}
 	}
@@ -360,7 +369,7 @@
 		return
 	}
 	j := &job{Job: r.Spec, submitted: time.UnixMilli(r.Submitted), size: r.Chunk, zones: map[string]int{},
-		failedOn: map[string]struct{}{}}
+		failedOn: map[string]struct{}{}, image: l.imageID(r.Spec.Image)}
 	j.chunks = make([]*chunk, (j.Tasks+j.size-1)/j.size)
 	l.jobs[j.ID] = j
 	if !j.Spot && j.Kind == protocol.Service {
@@ -457,10 +466,20 @@
 	j.live++
 	j.zones[m.zone]++
 	m.attempts[taskKey{j.ID, a.task}] = a
-	m.wanted[j.Image]++
+	a.place = len(m.list)
+	m.list = append(m.list, a)
+	m.wanted.add(j.image, 1)
 	m.cpus += j.CPUs
+	if !j.Spot {
+		m.fixed += j.CPUs
+	}
+	m.kept[j.Priority] += j.CPUs
+	if a.stop {
+		l.noteStop(a, 1)
+	}
 	if j.Kind == protocol.Service {
 		m.services += j.CPUs
+		m.replicas++
 	}
 	m.gpus += j.GPUs
 	m.mem += j.MemGB
@@ -489,17 +508,28 @@
 		delete(j.zones, m.zone)
 	}
 	delete(m.attempts, taskKey{j.ID, a.task})
-	if m.wanted[j.Image]--; m.wanted[j.Image] <= 0 {
-		delete(m.wanted, j.Image)
+	last := m.list[len(m.list)-1]
+	m.list[a.place], last.place = last, a.place
+	m.list[len(m.list)-1] = nil
+	m.list = m.list[:len(m.list)-1]
+	m.wanted.add(j.image, -1)
+	if a.stop {
+		l.noteStop(a, -1)
 	}
 	m.cpus -= j.CPUs
+	m.kept[j.Priority] -= j.CPUs
+	if !j.Spot {
+		m.fixed -= j.CPUs
+	}
 	if j.Kind == protocol.Service {
 		m.services -= j.CPUs
+		m.replicas--
 	}
 	m.gpus -= j.GPUs
 	m.mem -= j.MemGB
 	if len(m.attempts) == 0 {
-		m.cpus, m.gpus, m.mem, m.services = 0, 0, 0, 0 // no rounding left behind
+		m.cpus, m.gpus, m.mem, m.services, m.fixed = 0, 0, 0, 0, 0 // no rounding left behind
+		m.kept, m.ending, m.endingMem = [protocol.Critical + 1]float64{}, usage{}, 0
 		m.emptySince = l.n.now
 	}
 	u := l.teams[j.Team]
@@ -605,7 +635,11 @@
 	if a.stop && a.grace <= grace {
 		return
 	}
-	a.stop, a.grace, a.stopSent = true, grace, time.Time{}
+	if !a.stop {
+		a.stop = true
+		l.noteStop(a, 1)
+	}
+	a.grace, a.stopSent = grace, time.Time{}
 	if l.neverSent(a) && !l.beingRecorded(a) {
 		l.detach(a, "never sent")
 		return
@@ -623,6 +657,26 @@
 	return !a.recorded && a.job.chunk(a.task).inFlight
 }
 
+// noteStop counts an attempt among those that were told to end, or takes it out.
+// Whoever looks for room needs the sums of a machine or a team, for every job and
+// task: found anew each time they cost a leader with thousands of waiting tasks
+// seconds at a time, more than its lease.
+func (l *lead) noteStop(a *attempt, by int) {
+	j, m, sign := a.job, a.machine, float64(by)
+	m.stops += by
+	m.ending.cpus += sign * j.CPUs
+	m.ending.gpus += sign * j.GPUs
+	m.endingMem += sign * j.MemGB
+	s := l.stopped[j.Team]
+	s.cpus += sign * j.CPUs
+	s.gpus += sign * j.GPUs
+	l.stopped[j.Team] = s
+}
+
+// roundPause is the pause after a round of placement for each machine that it
+// looked at.
+const roundPause = 150 * time.Nanosecond
+
 // askPlace wants the placement to run soon. A short delay lets what happens
 // together be placed together.
 func (l *lead) askPlace() {
@@ -630,8 +684,9 @@
 		return
 	}
 	l.placeAsked = true
-	// The more jobs there are, the dearer a round is, and the more it can place.
-	delay := 8*time.Millisecond + time.Duration(len(l.order))*50*time.Microsecond
+	// The dearer the last round was, the longer until the next, so that rounds take
+	// no more than about half of a small share of a processor.
+	delay := 8*time.Millisecond + time.Duration(len(l.order))*20*time.Microsecond + time.Duration(l.work)*roundPause
 	if l.n.behind() {
 		delay += l.n.lag / 2
 	}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -40,13 +40,20 @@
 	noticeAt   time.Time // when the cloud takes it; zero without notice
 
 	attempts        map[taskKey]*attempt
-	cpus, gpus, mem float64 // taken by them
-	services        float64 // CPUs taken by replicas
+	list            []*attempt // the same, in no order
+	cpus, gpus, mem float64    // taken by them
+	services        float64    // CPUs taken by replicas
+	replicas        int
+	fixed           float64                        // CPUs taken by work that may not use spot machines
+	kept            [protocol.Critical + 1]float64 // CPUs taken, by priority
+	stops           int                            // attempts that were told to end
+	ending          usage                          // what they take
+	endingMem       float64
 	emptySince      time.Time
 	promised        usage // room that preemption frees for others
 	promisedMem     float64
 	images          imageCache
-	wanted          map[string]int // images of the attempts on it
+	wanted          imageCounts // images of the attempts on it
 
 	fence       uint16 // raises the token for this worker alone
 	directToken uint64 // of the last direct start: late copies of it die above it
@@ -67,7 +74,7 @@
 
 func (l *lead) newMachine(name, typ, zone string, spot bool) *machine {
 	m := &machine{name: name, typ: typ, zone: zone, spot: spot, spec: l.n.types[typ], rented: l.n.now,
-		attempts: map[taskKey]*attempt{}, emptySince: l.n.now, failures: map[string]int{}, wanted: map[string]int{}}
+		attempts: map[taskKey]*attempt{}, emptySince: l.n.now, failures: map[string]int{}}
 	l.machines[name] = m
 	l.fleetList = append(l.fleetList, m)
 	return m
@@ -231,7 +238,8 @@
 		l.checkHeard()
 	}
 	var orders []protocol.Order
-	present := make(map[*attempt]struct{}, len(r.Tasks))
+	l.reports++
+	present := 0
 	var clears []protocol.Order
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -240,10 +248,16 @@
 			a = nil
 		}
 		if a != nil {
-			present[a] = struct{}{}
+			if a.report != l.reports {
+				a.report = l.reports
+				present++
+			}
 			a.seen = true
 		}
 		if t.State == protocol.Exited {
+			if a != nil {
+				present--
+			}
 			if l.exited(m, a, t) {
 				clears = append(clears, protocol.Order{Kind: protocol.Forget, Job: t.Job, Index: t.Index, Attempt: t.Attempt})
 			}
@@ -257,15 +271,15 @@
 			continue
 		}
 		if t.State == protocol.Running && a.state != protocol.Running {
-			m.images.add(a.job.Image, a.job.ImageGB, m.cacheGB())
+			m.images.add(a.job.image, a.job.ImageGB, m.cacheGB())
 		}
 		l.setState(a, t.State)
 	}
 	// Absent attempts, in a fixed order.
-	if len(present) < len(m.attempts) {
-		absent := make([]*attempt, 0, len(m.attempts)-len(present))
-		for _, a := range m.attempts {
-			if _, ok := present[a]; !ok {
+	if present < len(m.list) {
+		absent := make([]*attempt, 0, len(m.list)-present)
+		for _, a := range m.list {
+			if a.report != l.reports {
 				absent = append(absent, a)
 			}
 		}
@@ -279,10 +293,12 @@
 	if !reported {
 		return nil
 	}
-	for _, a := range m.sorted() {
-		if _, ok := present[a]; ok && a.stop {
-			if o, ok := l.stopOrder(a); ok {
-				orders = append(orders, o)
+	if m.stops > 0 {
+		for _, a := range m.sorted() {
+			if a.report == l.reports && a.stop {
+				if o, ok := l.stopOrder(a); ok {
+					orders = append(orders, o)
+				}
 			}
 		}
 	}
@@ -328,10 +344,7 @@
 
 // sorted gives the machine's attempts in a fixed order.
 func (m *machine) sorted() []*attempt {
-	list := make([]*attempt, 0, len(m.attempts))
-	for _, a := range m.attempts {
-		list = append(list, a)
-	}
+	list := slices.Clone(m.list)
 	slices.SortFunc(list, compareAttempts)
 	return list
 }
@@ -397,7 +410,7 @@
 	j := l.jobs[t.Job]
 	if t.Why == protocol.ExitDone && j != nil && t.Index < j.Tasks {
 		if a != nil && a.state != 0 {
-			m.images.add(j.Image, j.ImageGB, m.cacheGB())
+			m.images.add(j.image, j.ImageGB, m.cacheGB())
 		}
 		clear(m.failures)
 		if a != nil {
@@ -491,15 +504,3 @@
 	m.promised.gpus += j.GPUs
 	m.promisedMem += j.MemGB
 }
-
-// stopping is the room of attempts that were told to end.
-func (m *machine) stopping() (u usage, mem float64) {
-	for _, a := range m.attempts {
-		if a.stop {
-			u.cpus += a.job.CPUs
-			u.gpus += a.job.GPUs
-			mem += a.job.MemGB
-		}
-	}
-	return u, mem
-}
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -67,14 +67,15 @@
 
 func TestImageCache(t *testing.T) {
 	var c imageCache
-	c.add("a", 1, 3)
-	c.add("b", 1, 3)
-	c.add("c", 1, 3)
-	c.add("a", 1, 3) // used again: now b is the oldest
-	c.add("d", 1, 3)
-	for image, want := range map[string]float64{"a": 1, "b": 0, "c": 1, "d": 1} {
+	const a, b, d, e = 1, 2, 3, 4
+	c.add(a, 1, 3)
+	c.add(b, 1, 3)
+	c.add(d, 1, 3)
+	c.add(a, 1, 3) // used again: now b is the oldest
+	c.add(e, 1, 3)
+	for image, want := range map[int32]float64{a: 1, b: 0, d: 1, e: 1} {
 		if got := c.bytes(image); got != want {
-			t.Errorf("%s: %g GB, want %g", image, got, want)
+			t.Errorf("image %d: %g GB, want %g", image, got, want)
 		}
 	}
 }
@@ -85,7 +86,7 @@
 	n, l := leading(active)
 	n.op.ImageWeight, n.op.RoomWeight = 1, 1
 	j := &job{Job: &protocol.Job{ID: "run-000001", Team: "red", Tasks: 1, CPUs: 1, MemGB: 1, Image: "a", ImageGB: 1},
-		zones: map[string]int{}, failedOn: map[string]struct{}{}}
+		zones: map[string]int{}, failedOn: map[string]struct{}{}, image: l.imageID("a")}
 	var list []*machine
 	for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
 		m := l.newMachine(name, "small", "a", false)
@@ -93,15 +94,15 @@
 		list = append(list, m)
 	}
 	list[0].cpus, list[1].cpus, list[2].cpus = 2, 0, 1
-	l.roomiest, l.opened = 4, list
+	l.opened = list
 	best := func() *machine {
 		c := l.candidates(j)
-		return c.list[c.best(j)].machine
+		return c.best(j)
 	}
 	if got := best(); got != list[1] {
 		t.Errorf("without images: %s", got.name)
 	}
-	list[0].images.add("a", 1, 3)
+	list[0].images.add(j.image, 1, 3)
 	if got := best(); got != list[0] {
 		t.Errorf("with the image on vm-1: %s", got.name)
 	}
--- a/internal/coordination/overload_test.go
+++ b/internal/coordination/overload_test.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"brasskeel/internal/bookkeeping"
+	"fmt"
 	"testing"
 	"time"
 
@@ -97,3 +99,46 @@
 		t.Errorf("%.0f allocations", allocated)
 	}
 }
+
+// A round of placement looks at each machine a few times for all jobs together, not
+// once for each waiting task: with thousands of them waiting in a fleet full of
+// work that gives way, rounds took seconds and leaders lost their leases to them,
+// one after the other.
+func TestRoundIsBounded(t *testing.T) {
+	n, l := largeLead(0)
+	add := func(from, count int, change func(j *protocol.Job)) {
+		for i := from; i < from+count; i++ {
+			j := benchJob(2)
+			j.ID, j.Image = fmt.Sprintf("run-%06d", i), fmt.Sprintf("img-%d", i%20)
+			change(j)
+			l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: j})
+		}
+	}
+	add(0, 600, func(j *protocol.Job) { j.Priority, j.Team, j.CPUs = protocol.Low, "blue", 1 })
+	fill(l)
+	used := 0.0
+	for _, m := range l.fleetList {
+		used += m.cpus
+	}
+	if used < benchMachines*16 {
+		t.Fatalf("%g CPUs in use: the fleet isn't full", used)
+	}
+	add(1000, 400, func(j *protocol.Job) { j.Tasks = 40 })
+	for _, when := range []time.Duration{0, 3 * time.Second, time.Second} { // patience passes
+		n.now = n.now.Add(when)
+		for _, m := range l.fleetList {
+			m.heard = n.now
+		}
+		l.place()
+		if most := 60 * benchMachines; l.work > most {
+			t.Errorf("a round looked at %d machines, more than %d", l.work, most)
+		}
+	}
+	stopping := 0
+	for _, m := range l.fleetList {
+		stopping += m.stops
+	}
+	if stopping < 10_000 { // what fits the guarantee
+		t.Errorf("%d tasks were stopped for jobs within their guarantee", stopping)
+	}
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"time"
+
 	"brasskeel/internal/protocol"
 )
 
@@ -13,18 +15,23 @@
 	}
 	l.markGuarantees()
 	order := l.waitingOrder()
-	l.fleet.unmet = l.fleet.unmet[:0]
-	l.countStopping()
-	l.roomiest, l.opened = 0, l.opened[:0]
+	l.fleet.unmet, l.fleet.partly = l.fleet.unmet[:0], false
+	l.full, l.stuck, l.work = l.full[:0], l.stuck[:0], len(l.fleetList)+len(order)
+	l.opened = l.opened[:0]
 	for _, m := range l.fleetList {
 		m.promised, m.promisedMem = usage{}, 0
 		if l.open(m) {
-			l.roomiest = max(l.roomiest, m.spec.CPUs-m.cpus)
 			l.opened = append(l.opened, m)
 		}
 	}
 	for _, j := range order {
 		left := l.placeJob(j)
+		if left > 0 && l.journal.full() {
+			// The rest waits for records, not for room: nothing is stopped for it, and
+			// what it needs of the fleet shows once room is all that it lacks.
+			l.fleet.partly = true
+			break
+		}
 		if left > 0 && n.now.Before(j.notBefore) {
 			continue
 		}
@@ -35,11 +42,17 @@
 			l.fleet.unmet = append(l.fleet.unmet, demand{j, left})
 		}
 	}
-	if len(l.fleet.unmet) > 0 {
+	if l.fleet.partly {
+		l.n.after(recordPause, l.askPlaceAlive)
+	} else if len(l.fleet.unmet) > 0 {
 		l.fleetSoon()
 	}
 }
 
+// recordPause is how soon a round that ended for want of records is followed by
+// another.
+const recordPause = 50 * time.Millisecond
+
 // placeable reports whether any machine that can be rented would take one more
 // task of the job: where machines can be had in one zone only, a job that may
 // have half of its tasks there waits for ever, and nothing should wait with it.
@@ -120,12 +133,13 @@
 		return l.placeGang(j)
 	}
 	held := 0 // tasks that wait for room on machines with their image
+	holders := search{holders: true}
 	c := l.candidates(j)
 	most := j.toStart()
 	if j.turn(l.n.now.Round(0)) < j.rank() {
 		most = min(most, (j.Tasks+9)/10) // it begins; the rest waits in its own turn
 	}
-	for placed := 0; placed < most && j.toStart() > held && l.journal.unsaved < maxUnrecorded; placed++ {
+	for placed := 0; placed < most && j.toStart() > held && !l.journal.full(); placed++ {
 		if !l.underLimit(j) {
 			l.makeLimitRoom(j)
 			return 0 // more machines wouldn't help
@@ -134,21 +148,20 @@
 		if i >= j.Tasks {
 			return 0
 		}
-		k := c.best(j)
-		if k < 0 {
+		m := c.best(j)
+		if m == nil {
 			break
 		}
-		m := c.list[k].machine
-		if l.slowStart(j, m) && l.makeHolderRoom(j) {
+		if l.slowStart(j, m) && holders.next(l, j) {
 			held++
 			continue
 		}
 		l.assign(j, i, m)
 		m.emptying = false // it is needed after all
-		c.again(l, j, k)
+		c.again(l, j)
 	}
 	left := j.toStart() - held
-	if u, t := l.teams[j.Team], l.n.teams[j.Team]; j.CPUs > 0 {
+	if u, t := l.teams[j.Team], l.n.teams[j.Team]; j.CPUs > 0 && t != nil {
 		left = min(left, int((t.CPUsMax-u.cpus)/j.CPUs+protocol.Epsilon))
 	}
 	return left
@@ -165,16 +178,15 @@
 	u := l.teams[j.Team]
 	c := l.candidates(j)
 	for len(chosen) < need && l.underLimit(j) {
-		k := c.best(j)
-		if k < 0 {
+		m := c.best(j)
+		if m == nil {
 			break
 		}
-		m := c.list[k].machine
 		chosen = append(chosen, m)
 		m.cpus, m.gpus, m.mem = m.cpus+j.CPUs, m.gpus+j.GPUs, m.mem+j.MemGB
 		u.cpus, u.gpus = u.cpus+j.CPUs, u.gpus+j.GPUs
 		j.zones[m.zone]++
-		c.again(l, j, k)
+		c.again(l, j)
 	}
 	for _, m := range chosen {
 		m.cpus, m.gpus, m.mem = m.cpus-j.CPUs, m.gpus-j.GPUs, m.mem-j.MemGB
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 
@@ -12,17 +14,11 @@
 // victims' room is free once their exit is reported; the job's tasks are
 // placed then.
 func (l *lead) makeRoom(j *job, left int) int {
-	// Room that earlier rounds are freeing costs nothing and is taken first, so
-	// that no more is stopped than needed.
-	for left > 0 {
-		m, victims := l.cheapestRoom(j, false)
-		if m == nil {
-			return left
-		}
-		l.free(m, victims, j)
+	var s search
+	for left > 0 && s.next(l, j) {
 		left--
 	}
-	return 0
+	return left
 }
 
 // free stops attempts on a machine and promises the room to a job.
@@ -30,7 +26,6 @@
 	for _, a := range victims {
 		l.n.log.Debug("preempted", "job", a.job.ID, "task", a.task, "machine", m.name, "for", j.ID, "lost", l.wasted(a))
 		l.stopAttempt(a, l.saveGrace(a))
-		l.noteStopped(a)
 	}
 	m.promise(j.Job)
 }
@@ -41,7 +36,7 @@
 	if j.Priority != protocol.Critical || m.spec.FetchRate <= 0 {
 		return false
 	}
-	fetch := time.Duration((1 - m.imageShare(j.Job)) * j.ImageGB / m.spec.FetchRate * float64(time.Second))
+	fetch := time.Duration((1 - m.imageShare(j)) * j.ImageGB / m.spec.FetchRate * float64(time.Second))
 	for i := range l.n.cfg.Objectives {
 		if o := &l.n.cfg.Objectives[i]; o.Kind == "wait" && o.Class == j.Class && fetch > o.Within {
 			return true
@@ -50,18 +45,6 @@
 	return false
 }
 
-// makeHolderRoom stops lower work on a machine that holds the image of a critical
-// job. Where images are many, the machines that hold one are mostly full, and
-// whoever has room would have to fetch it.
-func (l *lead) makeHolderRoom(j *job) bool {
-	m, victims := l.cheapestRoom(j, true)
-	if m == nil {
-		return false
-	}
-	l.free(m, victims, j)
-	return true
-}
-
 // patience is how long a job within its team's guarantee waits for room that
 // frees by itself before work of others is stopped for it: a part of the time
 // that users allow it. Tasks are short, so most of the room comes by itself,
@@ -125,26 +108,6 @@
 	return u.cpus-s.cpus > t.CPUs+protocol.Epsilon || u.gpus-s.gpus > t.GPUs+protocol.Epsilon
 }
 
-// noteStopped counts what a round has stopped of a team's work.
-func (l *lead) noteStopped(a *attempt) {
-	s := l.stopped[a.job.Team]
-	s.cpus += a.job.CPUs
-	s.gpus += a.job.GPUs
-	l.stopped[a.job.Team] = s
-}
-
-// countStopping finds what each team has stopping at the start of a round.
-func (l *lead) countStopping() {
-	clear(l.stopped)
-	for _, m := range l.fleetList {
-		for _, a := range m.attempts {
-			if a.stop {
-				l.noteStopped(a)
-			}
-		}
-	}
-}
-
 // wasted is the work lost when an attempt is stopped now, in seconds of its
 // resources.
 func (l *lead) wasted(a *attempt) float64 {
@@ -158,70 +121,169 @@
 	return d.Seconds() * (a.job.CPUs + 8*a.job.GPUs)
 }
 
-// cheapestRoom finds the machine where stopping the least work makes room for
-// one task of the job. With holders set, only machines that hold the job's image
-// count, and only work that ends at once.
-func (l *lead) cheapestRoom(j *job, holders bool) (*machine, []*attempt) {
-	var best *machine
-	var bestVictims []*attempt
-	bestCost := 0.0
-	for _, m := range l.opened {
-		if !m.allowed(j.Job) || !j.zoneAllows(m.zone) || m.failures[j.ID] > 0 {
+// search finds, one task of a job after the other, the machine where stopping the
+// least work makes room for it. Room that earlier rounds are freeing costs nothing
+// and so is taken first. All machines are looked at once for the job; after that
+// only the one that was chosen last changes. Looking at all of them for every task
+// kept the leader of a large fleet away from its lease for seconds.
+type search struct {
+	begun   bool
+	holders bool // only machines that hold the image, and only work that ends at once
+	options []option
+}
+
+// option is a machine where a job's task would have room once some work is stopped.
+type option struct {
+	machine *machine
+	cost    float64
+	order   int32 // among those of equal cost
+}
+
+// next stops work for one more task of the job and promises it the room, if there
+// is any.
+func (s *search) next(l *lead, j *job) bool {
+	if !s.begun {
+		s.begun = true
+		s.begin(l, j)
+	}
+	for len(s.options) > 0 {
+		o := &s.options[0]
+		cost, victims, ok := l.roomFor(j, o.machine, s.holders)
+		if !ok {
+			heap.Pop(s)
 			continue
 		}
-		if holders && m.images.bytes(j.Image) < j.ImageGB {
+		if cost > o.cost { // since something of it gave way to others
+			o.cost = cost
+			heap.Fix(s, 0)
 			continue
 		}
-		cpus, gpus, mem := m.spec.CPUs-m.cpus, m.spec.GPUs-m.gpus, m.spec.MemGB-m.mem
-		freed, freedMem := m.stopping()
-		cpus += freed.cpus - m.promised.cpus
-		gpus += freed.gpus - m.promised.gpus
-		mem += freedMem - m.promisedMem
-		fits := func() bool {
-			return cpus >= j.CPUs-protocol.Epsilon && gpus >= j.GPUs-protocol.Epsilon && mem >= j.MemGB-protocol.Epsilon
+		l.free(o.machine, victims, j)
+		if cost, _, ok := l.roomFor(j, o.machine, s.holders); ok {
+			o.cost = cost
+			heap.Fix(s, 0)
+		} else {
+			heap.Pop(s)
 		}
-		var candidates, victims []*attempt
-		for _, a := range m.sorted() {
-			if l.mayStop(a, j) && !(holders && l.saveGrace(a) > 0) {
-				candidates = append(candidates, a)
-			}
+		return true
+	}
+	return false
+}
+
+// begin looks at every machine.
+func (s *search) begin(l *lead, j *job) {
+	shape := l.shapeOf(j)
+	shape.priority, shape.rank = j.Priority, j.rank()
+	if j.within {
+		shape.team = j.Team
+	}
+	if shape.hopeless(l.stuck) {
+		return
+	}
+	// Where no other team runs more than its guarantee, only lower work gives way.
+	borrowed := false
+	if j.within {
+		for name := range l.teams {
+			borrowed = borrowed || name != j.Team && l.beyond(name)
 		}
-		slices.SortStableFunc(candidates, func(a, b *attempt) int {
-			if d := int(a.job.Priority) - int(b.job.Priority); d != 0 {
-				return d
-			}
-			// The latest job first: taking the least work first would hit the
-			// tasks that were just restarted again and again.
-			if d := b.job.submitted.Compare(a.job.submitted); d != 0 {
-				return d
-			}
-			switch wa, wb := l.wasted(a), l.wasted(b); {
-			case wa < wb:
-				return -1
-			case wa > wb:
-				return 1
-			}
-			return 0
-		})
-		cost := 0.0
-		for _, a := range candidates {
-			if fits() {
-				break
+	}
+	l.work += len(l.opened)
+	s.options = l.options[:0]
+	found := false
+	for i, m := range l.opened {
+		room := m.spec.CPUs - m.cpus + m.ending.cpus - m.promised.cpus
+		if !borrowed {
+			// What has ended counts twice here, which only makes for a closer look.
+			for p := protocol.Priority(0); p < j.Priority; p++ {
+				room += m.kept[p]
 			}
-			victims = append(victims, a)
-			cost += l.wasted(a) + 1
-			cpus += a.job.CPUs
-			gpus += a.job.GPUs
-			mem += a.job.MemGB
+		} else {
+			room = m.spec.CPUs - m.promised.cpus
+		}
+		if room < j.CPUs-protocol.Epsilon || !m.allowed(j.Job) {
+			continue
+		}
+		if s.holders && m.images.bytes(j.image) < j.ImageGB {
+			continue
 		}
-		if !fits() {
+		l.work += 10
+		cost, _, ok := l.roomFor(j, m, s.holders)
+		if !ok {
 			continue
 		}
-		if best == nil || cost < bestCost {
-			best, bestVictims, bestCost = m, victims, cost
+		found = true
+		if j.zoneAllows(m.zone) && m.failures[j.ID] == 0 {
+			s.options = append(s.options, option{m, cost, int32(i)})
+		}
+	}
+	l.options = s.options
+	if !found && !s.holders {
+		l.stuck = append(l.stuck, shape)
+	}
+	heap.Init(s)
+}
+
+// roomFor reports whether stopping some work on a machine makes room for one task
+// of a job, what that would cost, and which work it is. The list is good until the
+// next call.
+func (l *lead) roomFor(j *job, m *machine, holders bool) (cost float64, victims []*attempt, ok bool) {
+	cpus := m.spec.CPUs - m.cpus + m.ending.cpus - m.promised.cpus
+	gpus := m.spec.GPUs - m.gpus + m.ending.gpus - m.promised.gpus
+	mem := m.spec.MemGB - m.mem + m.endingMem - m.promisedMem
+	fits := func() bool {
+		return cpus >= j.CPUs-protocol.Epsilon && gpus >= j.GPUs-protocol.Epsilon && mem >= j.MemGB-protocol.Epsilon
+	}
+	if fits() {
+		return 0, nil, true
+	}
+	l.yielding = l.yielding[:0]
+	freed := usage{}
+	for _, a := range m.list {
+		if l.mayStop(a, j) && !(holders && l.saveGrace(a) > 0) {
+			l.yielding = append(l.yielding, a)
+			freed.cpus += a.job.CPUs
 		}
 	}
-	return best, bestVictims
+	if cpus+freed.cpus < j.CPUs-protocol.Epsilon {
+		return 0, nil, false
+	}
+	slices.SortFunc(l.yielding, func(a, b *attempt) int {
+		if d := int(a.job.Priority) - int(b.job.Priority); d != 0 {
+			return d
+		}
+		// The latest job first: taking the least work first would hit the
+		// tasks that were just restarted again and again.
+		if d := b.job.submitted.Compare(a.job.submitted); d != 0 {
+			return d
+		}
+		if d := cmp.Compare(l.wasted(a), l.wasted(b)); d != 0 {
+			return d
+		}
+		return compareAttempts(a, b)
+	})
+	for i, a := range l.yielding {
+		cost += l.wasted(a) + 1
+		cpus += a.job.CPUs
+		gpus += a.job.GPUs
+		mem += a.job.MemGB
+		if fits() {
+			return cost, l.yielding[:i+1], true
+		}
+	}
+	return 0, nil, false
+}
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (s *search) Len() int { return len(s.options) }
+func (s *search) Less(i, k int) bool {
+	a, b := &s.options[i], &s.options[k]
+	return a.cost < b.cost || a.cost == b.cost && a.order < b.order
+}
+func (s *search) Swap(i, k int) { s.options[i], s.options[k] = s.options[k], s.options[i] }
+func (s *search) Push(x any)    { s.options = append(s.options, x.(option)) }
+func (s *search) Pop() any {
+	s.options = s.options[:len(s.options)-1]
+	return nil
 }
 
 // makeLimitRoom stops work of the job's own team where the team's limit is
@@ -258,7 +320,6 @@
 		need -= a.job.CPUs
 		l.n.log.Debug("preempted under the team's limit", "job", a.job.ID, "task", a.task, "for", j.ID)
 		l.stopAttempt(a, l.saveGrace(a))
-		l.noteStopped(a)
 	}
 }
 
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -46,6 +46,9 @@
 			candidates = append(candidates, m)
 		}
 	}
+	if l.fleet.partly {
+		return // what seems to be free is needed as soon as records allow
+	}
 	// Tasks spread over all machines: waiting for one to be empty by chance
 	// would keep them all.
 	dearestFirst(candidates)
@@ -84,7 +87,7 @@
 // busy would stay with them. A move takes a moment: the image is there.
 func (l *lead) consolidate() {
 	n := l.n
-	if len(l.fleet.unmet) > 0 || n.storeDown() || n.now.Sub(l.fleet.movedAt) < movePause {
+	if len(l.fleet.unmet) > 0 || l.fleet.partly || n.storeDown() || n.now.Sub(l.fleet.movedAt) < movePause {
 		return
 	}
 	fixedRoom := 0.0
@@ -150,7 +153,7 @@
 			if !planned {
 				t = taken[o]
 			}
-			if o == m || o.emptying || !l.open(o) || !o.allowed(j.Job) || o.zone != m.zone || o.images.bytes(j.Image) == 0 ||
+			if o == m || o.emptying || !l.open(o) || !o.allowed(j.Job) || o.zone != m.zone || o.images.bytes(j.image) == 0 ||
 				o.cpus+t.cpus+j.CPUs > o.spec.CPUs+protocol.Epsilon || o.gpus+t.gpus+j.GPUs > o.spec.GPUs+protocol.Epsilon ||
 				o.mem+t.mem+j.MemGB > o.spec.MemGB+protocol.Epsilon {
 				continue
@@ -175,23 +178,12 @@
 	if m.spot {
 		return 0
 	}
-	room := m.spec.CPUs
-	for _, a := range m.attempts {
-		if !a.job.Spot {
-			room -= a.job.CPUs
-		}
-	}
-	return max(room, 0)
+	return max(m.spec.CPUs-m.fixed, 0)
 }
 
 // onlyServices reports whether replicas are all that is left on a machine.
 func (m *machine) onlyServices() bool {
-	for _, a := range m.attempts {
-		if a.job.Kind != protocol.Service {
-			return false
-		}
-	}
-	return len(m.attempts) > 0
+	return m.replicas == len(m.list) && m.replicas > 0
 }
 
 // dearestFirst orders machines by price, the emptiest first among equals.
--- a/internal/coordination/score.go
+++ b/internal/coordination/score.go
@@ -13,23 +13,64 @@
 }
 
 type cachedImage struct {
-	name string
-	gb   float64
+	id int32
+	gb float64
+}
+
+// imageID numbers an image for this leadership. Machines are scored for every job,
+// and comparing names took most of that.
+func (l *lead) imageID(name string) int32 {
+	id, ok := l.imageIDs[name]
+	if !ok {
+		id = int32(len(l.imageIDs))
+		l.imageIDs[name] = id
+	}
+	return id
+}
+
+// imageCounts says how many attempts on a machine need which image.
+type imageCounts []imageCount
+
+type imageCount struct{ id, count int32 }
+
+func (c *imageCounts) add(id, by int32) {
+	for i := range *c {
+		if k := &(*c)[i]; k.id == id {
+			if k.count += by; k.count <= 0 {
+				last := len(*c) - 1
+				(*c)[i] = (*c)[last]
+				*c = (*c)[:last]
+			}
+			return
+		}
+	}
+	if by > 0 {
+		*c = append(*c, imageCount{id, by})
+	}
+}
+
+func (c imageCounts) has(id int32) bool {
+	for i := range c {
+		if c[i].id == id {
+			return true
+		}
+	}
+	return false
 }
 
 func (c *imageCache) reset() { c.images, c.used = c.images[:0], 0 }
 
 // add notes the use of an image.
-func (c *imageCache) add(name string, gb, space float64) {
+func (c *imageCache) add(id int32, gb, space float64) {
 	for i := range c.images {
-		if c.images[i].name == name {
+		if c.images[i].id == id {
 			it := c.images[i]
 			copy(c.images[i:], c.images[i+1:])
 			c.images[len(c.images)-1] = it
 			return
 		}
 	}
-	c.images = append(c.images, cachedImage{name, gb})
+	c.images = append(c.images, cachedImage{id, gb})
 	c.used += gb
 	for c.used > space && len(c.images) > 1 {
 		c.used -= c.images[0].gb
@@ -38,9 +79,9 @@
 }
 
 // bytes is how much of an image the machine holds.
-func (c *imageCache) bytes(name string) float64 {
+func (c *imageCache) bytes(id int32) float64 {
 	for i := range c.images {
-		if c.images[i].name == name {
+		if c.images[i].id == id {
 			return c.images[i].gb
 		}
 	}
@@ -51,14 +92,14 @@
 // other tasks there already wait for counts as held: it is fetched once for
 // all of them, and a new image would otherwise scatter over many machines
 // before the first of them is seen to hold it.
-func (m *machine) imageShare(j *protocol.Job) float64 {
+func (m *machine) imageShare(j *job) float64 {
 	if j.ImageGB <= 0 {
 		return 1
 	}
-	if m.wanted[j.Image] > 0 {
+	if m.wanted.has(j.image) {
 		return 1
 	}
-	return min(1, m.images.bytes(j.Image)/j.ImageGB)
+	return min(1, m.images.bytes(j.image)/j.ImageGB)
 }
 
 // freeShare is the machine's free share, averaged over the resources that the
@@ -93,10 +134,9 @@
 		return true
 	}
 	// What is left after the tasks that others were stopped for.
-	freed, freedMem := m.stopping()
-	return cpus+m.promised.cpus-freed.cpus <= m.spec.CPUs+protocol.Epsilon &&
-		gpus+m.promised.gpus-freed.gpus <= m.spec.GPUs+protocol.Epsilon &&
-		mem+m.promisedMem-freedMem <= m.spec.MemGB+protocol.Epsilon
+	return cpus+m.promised.cpus-m.ending.cpus <= m.spec.CPUs+protocol.Epsilon &&
+		gpus+m.promised.gpus-m.ending.gpus <= m.spec.GPUs+protocol.Epsilon &&
+		mem+m.promisedMem-m.endingMem <= m.spec.MemGB+protocol.Epsilon
 }
 
 // allowed reports whether the job's own rules let it run on the machine.
@@ -113,5 +153,5 @@
 	if j.Kind == protocol.Service && m.spec.CPUs > 0 {
 		room = m.services / m.spec.CPUs
 	}
-	return l.n.op.ImageWeight*m.imageShare(j.Job) + l.n.op.RoomWeight*room
+	return l.n.op.ImageWeight*m.imageShare(j) + l.n.op.RoomWeight*room
 }
