--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -52,7 +52,7 @@
 func fill(l *lead) {
 	for range 60 {
 		l.place()
-		l.journal.unsaved = 0
+		l.journal.unsaved, l.journal.urgent = 0, nil
 	}
 	for _, m := range l.fleetList {
 		for _, a := range m.attempts {
--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"container/heap"
 	"slices"
-
-	"brasskeel/internal/protocol"
 )
 
 // open reports whether a machine takes new tasks: it has reported to this
@@ -31,7 +29,7 @@
 // candidates finds the machines that a job's tasks may be placed on now.
 func (l *lead) candidates(j *job) candidates {
 	l.ranked = l.ranked[:0]
-	s := l.shapeOf(j)
+	s := shape{cpus: j.CPUs, gpus: j.GPUs, mem: j.MemGB, zone: j.Zone, spot: j.Spot, types: j.Types}
 	// Where nothing found room before, nothing of the same kind and size will, and
 	// while enough waits to be recorded, nothing is to be placed.
 	if l.journal.full() || s.hopeless(l.full) {
@@ -56,21 +54,12 @@
 	return c
 }
 
-// shape is what decides where work finds room: what a task takes and what it may
-// use, and, where other work is to give way, on whose behalf.
+// shape is what decides where a task finds room: what it takes and what it may use.
 type shape struct {
 	cpus, gpus, mem float64
 	zone            string
 	spot            bool
 	types           []string
-	priority        protocol.Priority
-	rank            int
-	team            string // whose guarantee is asked for
-}
-
-// shapeOf is the shape of a job's tasks without anybody to give way.
-func (l *lead) shapeOf(j *job) shape {
-	return shape{cpus: j.CPUs, gpus: j.GPUs, mem: j.MemGB, zone: j.Zone, spot: j.Spot, types: j.Types}
 }
 
 // hopeless reports whether one of the same kind, and no larger, has found nothing.
@@ -79,7 +68,7 @@
 	for i := range failed {
 		f := &failed[i]
 		if f.cpus <= s.cpus && f.gpus <= s.gpus && f.mem <= s.mem && f.zone == s.zone && f.spot == s.spot &&
-			f.priority == s.priority && f.rank == s.rank && f.team == s.team && slices.Equal(f.types, s.types) {
+			slices.Equal(f.types, s.types) {
 			return true
 		}
 	}
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -58,14 +58,14 @@
 	preferred  string // zone last recorded as the better one for leaders
 	placeAsked bool
 	checkAsked bool
-	opened     []*machine  // that took tasks at the start of the round
-	ranked     []candidate // reused by every job's turn
-	full       []shape     // found no machine with room in this round
-	stuck      []shape     // found no work to stop in this round
-	options    []option    // reused by every search for work to stop
-	yielding   []*attempt  // reused by every look at a machine's work
-	work       int         // machines looked at in this round
-	reports    uint64      // taken, to tell which attempts the latest one holds
+	opened     []*machine       // that took tasks at the start of the round
+	ranked     []candidate      // reused by every job's turn
+	full       []shape          // found no machine with room in this round
+	searches   map[kind]*search // for work to stop, in this round
+	yielding   []*attempt       // reused by every look at a machine's work
+	work       int              // machines looked at in this round
+	allowance  int              // how many it may look at
+	reports    uint64           // taken, to tell which attempts the latest one holds
 	imageIDs   map[string]int32
 	stepDirect []*machine // machines with orders to send at the end of the step
 }
@@ -157,7 +157,7 @@
 func (n *Node) becomeLeader(term, version, lease uint64, ttl time.Duration, validUntil time.Time) {
 	l := &lead{n: n, term: term, version: version, lease: lease, ttl: ttl, validUntil: validUntil, elected: n.now, phase: loading,
 		jobs: map[string]*job{}, teams: map[string]*usage{}, stopped: map[string]usage{}, bias: map[string]float64{}, machines: map[string]*machine{},
-		gone: map[string]time.Time{}, imageIDs: map[string]int32{}}
+		gone: map[string]time.Time{}, imageIDs: map[string]int32{}, searches: map[kind]*search{}, allowance: roundWork}
 	for name := range n.teams {
 		l.teams[name] = &usage{}
 	}
--- a/internal/coordination/overload_test.go
+++ b/internal/coordination/overload_test.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"brasskeel/internal/bookkeeping"
 	"fmt"
 	"testing"
 	"time"
@@ -124,21 +123,23 @@
 		t.Fatalf("%g CPUs in use: the fleet isn't full", used)
 	}
 	add(1000, 400, func(j *protocol.Job) { j.Tasks = 40 })
-	for _, when := range []time.Duration{0, 3 * time.Second, time.Second} { // patience passes
+	rounds := 0
+	for _, when := range []time.Duration{0, 3 * time.Second, time.Second, time.Second} { // patience passes
 		n.now = n.now.Add(when)
 		for _, m := range l.fleetList {
 			m.heard = n.now
 		}
 		l.place()
-		if most := 60 * benchMachines; l.work > most {
-			t.Errorf("a round looked at %d machines, more than %d", l.work, most)
+		if l.work > 2*roundWork {
+			t.Errorf("a round looked at %d machines, more than %d", l.work, 2*roundWork)
 		}
+		rounds++
 	}
 	stopping := 0
 	for _, m := range l.fleetList {
 		stopping += m.stops
 	}
 	if stopping < 10_000 { // what fits the guarantee
-		t.Errorf("%d tasks were stopped for jobs within their guarantee", stopping)
+		t.Errorf("after %d rounds %d tasks were stopped for jobs within their guarantee", rounds, stopping)
 	}
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -16,7 +16,8 @@
 	l.markGuarantees()
 	order := l.waitingOrder()
 	l.fleet.unmet, l.fleet.partly = l.fleet.unmet[:0], false
-	l.full, l.stuck, l.work = l.full[:0], l.stuck[:0], len(l.fleetList)+len(order)
+	l.full, l.work = l.full[:0], len(l.fleetList)+len(order)
+	clear(l.searches)
 	l.opened = l.opened[:0]
 	for _, m := range l.fleetList {
 		m.promised, m.promisedMem = usage{}, 0
@@ -26,9 +27,10 @@
 	}
 	for _, j := range order {
 		left := l.placeJob(j)
-		if left > 0 && l.journal.full() {
-			// The rest waits for records, not for room: nothing is stopped for it, and
-			// what it needs of the fleet shows once room is all that it lacks.
+		if left > 0 && (l.journal.full() || l.work > l.allowance) {
+			// The rest waits for records or for the next round, not for room: nothing
+			// is stopped for it, and what it needs of the fleet shows once room is all
+			// that it lacks.
 			l.fleet.partly = true
 			break
 		}
@@ -42,6 +44,13 @@
 			l.fleet.unmet = append(l.fleet.unmet, demand{j, left})
 		}
 	}
+	// A round that ended for its length is followed by one that may take longer, so
+	// that those at its end get their turn whatever is before them.
+	if l.work > l.allowance {
+		l.allowance = min(2*l.allowance, 16*roundWork)
+	} else if !l.fleet.partly {
+		l.allowance = roundWork
+	}
 	if l.fleet.partly {
 		l.n.after(recordPause, l.askPlaceAlive)
 	} else if len(l.fleet.unmet) > 0 {
@@ -49,8 +58,11 @@
 	}
 }
 
-// recordPause is how soon a round that ended for want of records is followed by
-// another.
+// roundWork is how many machines a round may look at, over all jobs. Between rounds
+// the leader renews its lease and answers workers and users.
+const roundWork = 250_000
+
+// recordPause is how soon a round that ended early is followed by another.
 const recordPause = 50 * time.Millisecond
 
 // placeable reports whether any machine that can be rented would take one more
@@ -134,6 +146,10 @@
 	}
 	held := 0 // tasks that wait for room on machines with their image
 	holders := search{holders: true}
+	if !l.underLimit(j) {
+		l.makeLimitRoom(j)
+		return 0 // more machines wouldn't help
+	}
 	c := l.candidates(j)
 	most := j.toStart()
 	if j.turn(l.n.now.Round(0)) < j.rank() {
@@ -152,7 +168,7 @@
 		if m == nil {
 			break
 		}
-		if l.slowStart(j, m) && holders.next(l, j) {
+		if l.slowStart(j, m) && holders.turnNext(l, j) {
 			held++
 			continue
 		}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"slices"
+	"strings"
 	"time"
 
 	"brasskeel/internal/protocol"
@@ -14,7 +15,13 @@
 // victims' room is free once their exit is reported; the job's tasks are
 // placed then.
 func (l *lead) makeRoom(j *job, left int) int {
-	var s search
+	k := kindOf(j)
+	s := l.searches[k]
+	if s == nil {
+		s = &search{}
+		l.searches[k] = s
+	}
+	s.turn(l, j)
 	for left > 0 && s.next(l, j) {
 		left--
 	}
@@ -121,48 +128,123 @@
 	return d.Seconds() * (a.job.CPUs + 8*a.job.GPUs)
 }
 
-// search finds, one task of a job after the other, the machine where stopping the
-// least work makes room for it. Room that earlier rounds are freeing costs nothing
-// and so is taken first. All machines are looked at once for the job; after that
-// only the one that was chosen last changes. Looking at all of them for every task
-// kept the leader of a large fleet away from its lease for seconds.
+// search finds, one task after the other, the machine where stopping the least work
+// makes room for it. Room that earlier rounds are freeing costs nothing and so is
+// taken first. All machines are looked at once for all jobs of a kind, which share
+// the search during a round; after that only the one that was chosen last changes.
+// Looking at all of them for every task, or every job, kept the leader of a large
+// fleet away from its lease for seconds.
 type search struct {
 	begun   bool
 	holders bool // only machines that hold the image, and only work that ends at once
 	options []option
+	aside   []option // not for the job whose turn it is
+	failed  []option // without room for the smallest task so far
+	least   usage    // that task
+	leastGB float64
 }
 
-// option is a machine where a job's task would have room once some work is stopped.
+// option is a machine where a task would have room once some work is stopped.
 type option struct {
 	machine *machine
 	cost    float64
 	order   int32 // among those of equal cost
 }
 
+// kind is what jobs have in common that may stop the same work on the same machines.
+type kind struct {
+	zone, types string
+	spot        bool
+	priority    protocol.Priority
+	rank        int
+	team        string // whose guarantee is asked for
+}
+
+func kindOf(j *job) kind {
+	k := kind{zone: j.Zone, types: strings.Join(j.Types, " "), spot: j.Spot, priority: j.Priority, rank: j.rank()}
+	if j.within {
+		k.team = j.Team
+	}
+	return k
+}
+
+// turn makes the search one for a job's tasks.
+func (s *search) turn(l *lead, j *job) {
+	for _, o := range s.aside {
+		s.options = append(s.options, o)
+	}
+	s.aside = s.aside[:0]
+	switch {
+	case !s.begun:
+		s.begun = true
+		l.work += len(l.opened)
+		s.failed = make([]option, 0, len(l.opened))
+		for i, m := range l.opened {
+			if m.allowed(j.Job) && !(s.holders && m.images.bytes(j.image) < j.ImageGB) {
+				s.failed = append(s.failed, option{m, 0, int32(i)})
+			}
+		}
+	case j.CPUs >= s.least.cpus && j.GPUs >= s.least.gpus && j.MemGB >= s.leastGB:
+		// What had no room for a smaller task has none for this one: during a round
+		// room is only used up.
+		heap.Init(s)
+		return
+	}
+	s.least, s.leastGB = usage{j.CPUs, j.GPUs}, j.MemGB
+	failed := s.failed[:0]
+	for _, o := range s.failed {
+		cost, _, ok := l.roomFor(j, o.machine, s.holders)
+		if !ok {
+			failed = append(failed, o)
+			continue
+		}
+		o.cost = cost
+		s.options = append(s.options, o)
+	}
+	s.failed = failed
+	heap.Init(s)
+}
+
+// turnNext is next for a search that serves one job alone.
+func (s *search) turnNext(l *lead, j *job) bool {
+	if !s.begun {
+		s.turn(l, j)
+	}
+	return s.next(l, j)
+}
+
 // next stops work for one more task of the job and promises it the room, if there
 // is any.
 func (s *search) next(l *lead, j *job) bool {
-	if !s.begun {
-		s.begun = true
-		s.begin(l, j)
-	}
 	for len(s.options) > 0 {
-		o := &s.options[0]
+		o := s.options[0]
+		if !j.zoneAllows(o.machine.zone) || o.machine.failures[j.ID] > 0 {
+			s.aside = append(s.aside, o)
+			heap.Pop(s)
+			continue
+		}
 		cost, victims, ok := l.roomFor(j, o.machine, s.holders)
 		if !ok {
+			s.failed = append(s.failed, o)
 			heap.Pop(s)
 			continue
 		}
-		if cost > o.cost { // since something of it gave way to others
-			o.cost = cost
+		if cost > o.cost { // it was found for a smaller task, or what was to give way has ended
+			s.options[0].cost = cost
 			heap.Fix(s, 0)
 			continue
 		}
 		l.free(o.machine, victims, j)
+		// What it costs next is at least nothing; it is looked at again when its
+		// turn comes.
+		if cost == 0 {
+			return true
+		}
 		if cost, _, ok := l.roomFor(j, o.machine, s.holders); ok {
-			o.cost = cost
+			s.options[0].cost = cost
 			heap.Fix(s, 0)
 		} else {
+			s.failed = append(s.failed, o)
 			heap.Pop(s)
 		}
 		return true
@@ -170,63 +252,11 @@
 	return false
 }
 
-// begin looks at every machine.
-func (s *search) begin(l *lead, j *job) {
-	shape := l.shapeOf(j)
-	shape.priority, shape.rank = j.Priority, j.rank()
-	if j.within {
-		shape.team = j.Team
-	}
-	if shape.hopeless(l.stuck) {
-		return
-	}
-	// Where no other team runs more than its guarantee, only lower work gives way.
-	borrowed := false
-	if j.within {
-		for name := range l.teams {
-			borrowed = borrowed || name != j.Team && l.beyond(name)
-		}
-	}
-	l.work += len(l.opened)
-	s.options = l.options[:0]
-	found := false
-	for i, m := range l.opened {
-		room := m.spec.CPUs - m.cpus + m.ending.cpus - m.promised.cpus
-		if !borrowed {
-			// What has ended counts twice here, which only makes for a closer look.
-			for p := protocol.Priority(0); p < j.Priority; p++ {
-				room += m.kept[p]
-			}
-		} else {
-			room = m.spec.CPUs - m.promised.cpus
-		}
-		if room < j.CPUs-protocol.Epsilon || !m.allowed(j.Job) {
-			continue
-		}
-		if s.holders && m.images.bytes(j.image) < j.ImageGB {
-			continue
-		}
-		l.work += 10
-		cost, _, ok := l.roomFor(j, m, s.holders)
-		if !ok {
-			continue
-		}
-		found = true
-		if j.zoneAllows(m.zone) && m.failures[j.ID] == 0 {
-			s.options = append(s.options, option{m, cost, int32(i)})
-		}
-	}
-	l.options = s.options
-	if !found && !s.holders {
-		l.stuck = append(l.stuck, shape)
-	}
-	heap.Init(s)
-}
-
 // roomFor reports whether stopping some work on a machine makes room for one task
 // of a job, what that would cost, and which work it is. The list is good until the
 // next call.
 func (l *lead) roomFor(j *job, m *machine, holders bool) (cost float64, victims []*attempt, ok bool) {
+	l.work++
 	cpus := m.spec.CPUs - m.cpus + m.ending.cpus - m.promised.cpus
 	gpus := m.spec.GPUs - m.gpus + m.ending.gpus - m.promised.gpus
 	mem := m.spec.MemGB - m.mem + m.endingMem - m.promisedMem
@@ -236,6 +266,17 @@
 	if fits() {
 		return 0, nil, true
 	}
+	// What may give way at the most: lower work, or what other teams have borrowed.
+	if !j.within {
+		most := cpus
+		for p := protocol.Priority(0); p < j.Priority; p++ {
+			most += m.kept[p]
+		}
+		if most < j.CPUs-protocol.Epsilon {
+			return 0, nil, false
+		}
+	}
+	l.work += 10
 	l.yielding = l.yielding[:0]
 	freed := usage{}
 	for _, a := range m.list {
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -42,7 +42,11 @@
 
 const (
 	watchInterval = 250 * time.Millisecond
-	probesAtOnce  = 24
+	// Probes sent at a time: a part of the fleet, so that a new leader has asked all
+	// of it within the time that it waits for reports, and one that lost its workers
+	// finds out before it gives up any of them.
+	probesAtLeast = 24
+	probesShare   = 8
 	// A worker that has seen a new token reports again within half a second.
 	tokenSoon = 700 * time.Millisecond
 	// Reports wait unread while the process does nothing, and then all machines
@@ -165,7 +169,7 @@
 // probeSome asks some of the machines that are to be asked, others the next time:
 // asking hundreds at once takes longer than the answers are waited for.
 func (l *lead) probeSome(list []*machine) {
-	most := probesAtOnce
+	most := max(probesAtLeast, len(l.fleetList)/probesShare)
 	if l.n.behind() {
 		most /= 3
 	}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -29,7 +29,7 @@
 	dialTimeout    = 2 * time.Second
 	requestTimeout = 10 * time.Second // from the first byte of a request to its last
 	idleCallLife   = 45 * time.Second // an unused outgoing connection is closed after it
-	maxDialsAtOnce = 48
+	minDialsAtOnce = 48
 	sweepInterval  = time.Second
 )
 
@@ -39,7 +39,8 @@
 const (
 	acceptedShare = 54
 	outgoingShare = 40
-	storeShare    = 4 // more of ours, for the state service alone
+	storeShare    = 4  // more of ours, for the state service alone
+	dialShare     = 10 // at a time: those of machines that are gone hang
 )
 
 // Handler receives what arrives. All its methods run on the event loop.
@@ -357,7 +358,7 @@
 		switch {
 		case c.done == nil: // given up
 		case c.addr == l.store && l.outgoing+l.dials < l.maxConns*(outgoingShare+storeShare)/100,
-			l.dials < maxDialsAtOnce && l.haveRoom():
+			l.dials < max(minDialsAtOnce, l.maxConns*dialShare/100) && l.haveRoom():
 			l.dials++
 			c.dialled = true
 			go l.dial(c)
