Sockets follow need, new leaders wait for most machines only

Workers and users that come take the place of unused connections of ours: 1,600 workers fit no fixed share of 3,157. A new leader doesn't wait for the last fifth of its fleet.

--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -276,26 +276,36 @@
 	l.askPlace()
 }
 
-// allHeard reports whether every machine that should have told its tasks and
-// images has, or was asked and didn't answer, or isn't in the cloud's list, so that
-// it can't be asked: there is nothing more to wait for then. Among hundreds of
-// machines a few are always gone.
-func (l *lead) allHeard() bool {
+// enoughHeard reports whether all but a few of the machines that should have told
+// their tasks and images have, or were asked and didn't answer, or aren't in the
+// cloud's list, so that they can't be asked. Among hundreds of machines a few are
+// always gone, and a part of a large fleet is taken out at once: placing goes on
+// without those that weren't heard, as they are skipped, and what they ran counts.
+func (l *lead) enoughHeard() bool {
 	if len(l.fleetList) == 0 {
 		return false
 	}
 	listed := !l.fleet.listedAt.IsZero() && !l.fleet.listing
+	missing, known := 0, 0
 	for _, m := range l.fleetList {
 		// One that only a lagging list tells of may be gone already.
 		booted := m.inherited && (m.spec == nil || l.n.now.Sub(m.rented) > 2*m.spec.Boot)
 		heard := m.reconciled && !m.reached.IsZero()
-		if !heard && (len(m.attempts) > 0 || booted) && m.probeFails < askTwice && !(listed && m.addr == "") {
-			return false
+		if len(m.attempts) == 0 && !booted {
+			continue
+		}
+		known++
+		if !heard && m.probeFails < askTwice && !(listed && m.addr == "") {
+			missing++
 		}
 	}
-	return true
+	return missing*mayMiss <= known
 }
 
+// mayMiss is the part of the machines that a new leader doesn't wait for, as a
+// divisor.
+const mayMiss = 5
+
 func (l *lead) watchJobs(after uint64) {
 	l.n.storeWatch(bookkeeping.PrefixJobs, after, func(o Outcome) {
 		if !l.alive() {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -326,7 +326,7 @@
 	l.checkAsked = true
 	l.n.after(10*time.Millisecond, func() {
 		l.checkAsked = false
-		if l.alive() && l.phase == settling && l.allHeard() {
+		if l.alive() && l.phase == settling && l.enoughHeard() {
 			l.activate()
 		}
 	})
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -46,7 +46,7 @@
 	// of it within the time that it waits for reports, and one that lost its workers
 	// finds out before it gives up any of them.
 	probesAtLeast = 24
-	probesShare   = 8
+	probesShare   = 6
 	// A worker that has seen a new token reports again within half a second.
 	tokenSoon = 700 * time.Millisecond
 	// Reports wait unread while the process does nothing, and then all machines
@@ -88,7 +88,9 @@
 			if len(m.attempts) == 0 {
 				continue
 			}
-			since = l.settled // it ran tasks for an earlier leader
+			// It ran tasks for an earlier leader, and was asked since the records were
+			// read.
+			since = l.loadedAt
 		}
 		if l.deaf.After(since) {
 			since = l.deaf
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -34,11 +35,14 @@
 )
 
 // Shares of the sockets, in percent. Every worker holds one accepted connection
-// and, while it has work, one of ours; the rest is left for the controllers'
-// own streams.
+// and, while it has work, one of ours. What is left is for the controllers' own
+// streams. Within all of them need decides: connections of ours that wait for a call
+// give way to workers and users that come, since a fleet that reconnects at once
+// takes more than any fixed share of it.
 const (
-	acceptedShare = 54
-	outgoingShare = 40
+	allShare      = 92
+	outgoingShare = 40 // of ours at the most
+	outgoingKept  = 12 // that don't give way to accepted ones
 	storeShare    = 4  // more of ours, for the state service alone
 	dialShare     = 10 // at a time: those of machines that are gone hang
 )
@@ -70,7 +74,9 @@
 	pending  map[uint64]*served
 	out      []byte
 	idle     map[string][]*outgoing
+	unused   *list.List // the same, the one unused for longest first
 	outgoing int
+	leaving  int // of them, those that were told to close
 	dials    int
 	waiting  []*call
 }
@@ -93,6 +99,9 @@
 	call *call
 	used time.Time
 	dead bool
+
+	unused  *list.Element // while it waits for a call
+	leaving bool
 }
 
 type call struct {
@@ -113,6 +122,7 @@
 	return &Loop{
 		addr: addr, store: store, handler: handler, log: log, maxConns: maxConns,
 		accepted: map[*served]struct{}{}, pending: map[uint64]*served{}, idle: map[string][]*outgoing{},
+		unused: list.New(),
 	}
 }
 
@@ -201,12 +211,33 @@
 	s := &served{conn: c, active: time.Now()}
 	c.SetContext(s)
 	l.accepted[s] = struct{}{}
-	if len(l.accepted) > l.maxConns*acceptedShare/100 {
+	if l.open() > l.share(allShare) && !(l.mine() > l.share(outgoingKept) && l.shedUnused()) {
 		l.shedOldest()
 	}
 	return nil, gnet.None
 }
 
+func (l *Loop) share(percent int) int { return l.maxConns * percent / 100 }
+
+// mine is the number of connections of ours, those that are being dialled included,
+// and open the number of all connections.
+func (l *Loop) mine() int { return l.outgoing - l.leaving + l.dials }
+func (l *Loop) open() int { return l.mine() + len(l.accepted) }
+
+// shedUnused closes the connection of ours that has been unused for longest.
+func (l *Loop) shedUnused() bool {
+	e := l.unused.Front()
+	if e == nil {
+		return false
+	}
+	o := e.Value.(*outgoing)
+	l.dropIdle(o)
+	o.leaving = true
+	l.leaving++
+	_ = o.conn.Close()
+	return true
+}
+
 // shedOldest closes the accepted connection that has been idle longest, so
 // that silent clients can't lock out the others.
 func (l *Loop) shedOldest() {
@@ -233,6 +264,9 @@
 	case *outgoing:
 		s.dead = true
 		l.outgoing--
+		if s.leaving {
+			l.leaving--
+		}
 		if s.call != nil {
 			// A body without a length ends with the connection.
 			buf, _ := c.Peek(-1)
@@ -357,8 +391,8 @@
 	for _, c := range l.waiting {
 		switch {
 		case c.done == nil: // given up
-		case c.addr == l.store && l.outgoing+l.dials < l.maxConns*(outgoingShare+storeShare)/100,
-			l.dials < max(minDialsAtOnce, l.maxConns*dialShare/100) && l.haveRoom():
+		case c.addr == l.store && l.mine() < l.share(outgoingShare+storeShare),
+			l.dials < max(minDialsAtOnce, l.share(dialShare)) && l.haveRoom():
 			l.dials++
 			c.dialled = true
 			go l.dial(c)
@@ -375,26 +409,16 @@
 // than sockets, those that had an order a while ago would otherwise keep all
 // others from being reached, and those would be taken for dead.
 func (l *Loop) haveRoom() bool {
-	limit := l.maxConns * outgoingShare / 100
-	if l.outgoing+l.dials < limit {
-		return true
-	}
-	var oldest *outgoing
-	for _, list := range l.idle {
-		// The first of a list was released first.
-		if o := list[0]; oldest == nil || o.used.Before(oldest.used) {
-			oldest = o
-		}
-	}
-	if oldest != nil {
-		l.dropIdle(oldest)
-		_ = oldest.conn.Close()
-	}
-	return l.outgoing+l.dials < limit
+	full := func() bool { return l.mine() >= l.share(outgoingShare) || l.open() >= l.share(allShare) }
+	return !full() || l.shedUnused() && !full()
 }
 
 // dropIdle takes a connection out of those that wait for a call.
 func (l *Loop) dropIdle(o *outgoing) {
+	if o.unused != nil {
+		l.unused.Remove(o.unused)
+		o.unused = nil
+	}
 	list := l.idle[o.addr]
 	for i, k := range list {
 		if k == o {
@@ -475,6 +499,7 @@
 func (l *Loop) release(o *outgoing) {
 	o.used = time.Now()
 	l.idle[o.addr] = append(l.idle[o.addr], o)
+	o.unused = l.unused.PushBack(o)
 }
 
 func (l *Loop) expire(c *call) {
@@ -519,20 +544,8 @@
 			_ = s.conn.Close()
 		}
 	}
-	for addr, list := range l.idle {
-		keep := list[:0]
-		for _, o := range list {
-			if now.Sub(o.used) > idleCallLife {
-				_ = o.conn.Close()
-			} else {
-				keep = append(keep, o)
-			}
-		}
-		if len(keep) == 0 {
-			delete(l.idle, addr)
-		} else {
-			l.idle[addr] = keep
-		}
+	for e := l.unused.Front(); e != nil && now.Sub(e.Value.(*outgoing).used) > idleCallLife; e = l.unused.Front() {
+		l.shedUnused()
 	}
 	l.After(sweepInterval, l.sweep)
 }
--- a/internal/transport/loop_test.go
+++ b/internal/transport/loop_test.go
@@ -139,6 +139,58 @@
 	}
 }
 
+// TestWorkersBeforeUnusedCalls connects more clients than a fixed share for accepted
+// connections left room for, after calls of ours have taken theirs. What is unused of
+// ours gives way, every client keeps its connection, and the limit holds: a fleet that
+// reconnects at once after all controllers were restarted is more than half of it.
+func TestWorkersBeforeUnusedCalls(t *testing.T) {
+	e, addr := startLoop()
+	idle, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "hello") })}
+	go func() { _ = server.Serve(idle) }()
+	t.Cleanup(func() { server.Close() })
+	const calls = 20
+	out := make(chan error, calls)
+	e.loop.Post(func() {
+		for range calls {
+			e.loop.Call(idle.Addr().String(), "GET", "/", nil, 5*time.Second, func(_ int, _ []byte, err error) { out <- err })
+		}
+	})
+	for range calls {
+		if err := <-out; err != nil {
+			t.Fatal(err)
+		}
+	}
+	clients := make([]net.Conn, e.loop.maxConns*3/4)
+	for round := range 2 {
+		for i := range clients {
+			if round == 0 {
+				if clients[i], err = net.Dial("tcp", addr); err != nil {
+					t.Fatal(err)
+				}
+				defer clients[i].Close()
+			}
+			if _, err := io.WriteString(clients[i], "GET /a HTTP/1.1\r\n\r\n"); err != nil {
+				t.Fatalf("round %d, client %d: %v", round, i, err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(clients[i]), nil)
+			if err != nil {
+				t.Fatalf("round %d, client %d: %v", round, i, err)
+			}
+			resp.Body.Close()
+		}
+	}
+	type count struct{ accepted, outgoing int }
+	got := make(chan count, 1)
+	e.loop.Post(func() { got <- count{len(e.loop.accepted), e.loop.outgoing} })
+	if c := <-got; c.accepted < len(clients) || c.accepted+c.outgoing > e.loop.maxConns {
+		t.Errorf("%d accepted and %d of ours with a limit of %d", c.accepted, c.outgoing, e.loop.maxConns)
+	}
+}
+
 // TestPeers checks that what one controller publishes reaches the other over
 // an HTTP/2 stream, also what it said before the other came.
 func TestPeers(t *testing.T) {
