--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -35,9 +35,9 @@
 	if l.journal.full() || s.hopeless(l.full) {
 		return candidates{}
 	}
-	l.work += len(l.opened)
+	l.work += len(l.roomy)
 	room := false
-	for i, m := range l.opened {
+	for i, m := range l.roomy {
 		if !m.hasRoom(j.Job) || !m.allowed(j.Job) {
 			continue
 		}
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -59,6 +59,8 @@
 	placeAsked bool
 	checkAsked bool
 	opened     []*machine       // that took tasks at the start of the round
+	roomy      []*machine       // of them, those with room for the smallest task that waits
+	zones      []string         // of the opened machines
 	ranked     []candidate      // reused by every job's turn
 	full       []shape          // found no machine with room in this round
 	searches   map[kind]*search // for work to stop, in this round
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -94,7 +94,7 @@
 		list = append(list, m)
 	}
 	list[0].cpus, list[1].cpus, list[2].cpus = 2, 0, 1
-	l.opened = list
+	l.opened, l.roomy = list, list
 	best := func() *machine {
 		c := l.candidates(j)
 		return c.best(j)
--- a/internal/coordination/overload_test.go
+++ b/internal/coordination/overload_test.go
@@ -144,3 +144,27 @@
 		t.Errorf("after %d rounds %d tasks were stopped for jobs within their guarantee", rounds, stopping)
 	}
 }
+
+// Replicas that wait for another zone than the one that has machines cost next to
+// nothing. Every machine was looked at for each of them in every round, which took
+// most of a leader's processor time where the cloud offers one zone of two.
+func TestClosedZonesCostNothing(t *testing.T) {
+	n, l := largeLead(0)
+	for i := range 100 {
+		j := benchJob(0)
+		j.ID, j.Tasks, j.Spread = fmt.Sprintf("run-%06d", i), 6, true
+		l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: j})
+	}
+	fill(l)
+	waiting := 0
+	for _, j := range l.order {
+		waiting += j.toStart()
+	}
+	if waiting != 300 {
+		t.Fatalf("%d replicas wait, want half of 600", waiting)
+	}
+	l.place()
+	if most := 2 * benchMachines; l.work > most {
+		t.Errorf("a round looked at %d machines, more than %d", l.work, most)
+	}
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"brasskeel/internal/protocol"
@@ -18,15 +20,28 @@
 	l.fleet.unmet, l.fleet.partly = l.fleet.unmet[:0], false
 	l.full, l.work = l.full[:0], len(l.fleetList)+len(order)
 	clear(l.searches)
-	l.opened = l.opened[:0]
+	least, leastMem := math.Inf(1), math.Inf(1)
+	for _, j := range order {
+		least, leastMem = min(least, j.CPUs), min(leastMem, j.MemGB)
+	}
+	l.opened, l.roomy, l.zones = l.opened[:0], l.roomy[:0], l.zones[:0]
 	for _, m := range l.fleetList {
 		m.promised, m.promisedMem = usage{}, 0
 		if l.open(m) {
 			l.opened = append(l.opened, m)
+			if !slices.Contains(l.zones, m.zone) {
+				l.zones = append(l.zones, m.zone)
+			}
+			if m.cpus+least <= m.spec.CPUs+protocol.Epsilon && m.mem+leastMem <= m.spec.MemGB+protocol.Epsilon {
+				l.roomy = append(l.roomy, m)
+			}
 		}
 	}
 	for _, j := range order {
-		left := l.placeJob(j)
+		left := j.toStart()
+		if l.zoneOpen(j) {
+			left = l.placeJob(j)
+		}
 		if left > 0 && (l.journal.full() || l.work > l.allowance) {
 			// The rest waits for records or for the next round, not for room: nothing
 			// is stopped for it, and what it needs of the fleet shows once room is all
@@ -37,7 +52,7 @@
 		if left > 0 && n.now.Before(j.notBefore) {
 			continue
 		}
-		if left > 0 && l.presses(j) {
+		if left > 0 && l.zoneOpen(j) && l.presses(j) {
 			left = l.makeRoom(j, left)
 		}
 		if left > 0 && l.placeable(j) {
@@ -65,6 +80,13 @@
 // recordPause is how soon a round that ended early is followed by another.
 const recordPause = 50 * time.Millisecond
 
+// zoneOpen reports whether a job's rules about zones leave any that has machines.
+// Replicas that wait for ever for another zone would otherwise have every machine
+// looked at for them in every round.
+func (l *lead) zoneOpen(j *job) bool {
+	return slices.ContainsFunc(l.zones, func(z string) bool { return (j.Zone == "" || j.Zone == z) && j.zoneAllows(z) })
+}
+
 // placeable reports whether any machine that can be rented would take one more
 // task of the job: where machines can be had in one zone only, a job that may
 // have half of its tasks there waits for ever, and nothing should wait with it.
