Machines given up and heard again are kept; settling waits for a list that was read

Silent machines that the cloud couldn't take back yet are kept once they answer. Several rental calls go out at once.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -21,6 +21,14 @@
 	movePause      = 10 * time.Second
 )
 
+// rentAtOnce bounds how many machines one turn asks for: its answers show what is
+// still needed. returnCalls are those of the cloud's calls at once that renting
+// leaves.
+const (
+	rentAtOnce  = 200
+	returnCalls = 1
+)
+
 // demand is work without a machine.
 type demand struct {
 	job  *job
@@ -58,7 +66,8 @@
 	renting   map[string]int       // machines asked for, by offer
 	releasing bool
 	listing   bool
-	listedAt  time.Time
+	listedAt  time.Time // when the list was last asked for
+	listed    bool      // it was read in full since this node leads
 	typesAt   time.Time
 	movedAt   time.Time
 	loggedAt  time.Time
@@ -316,7 +325,7 @@
 			}
 			return !j.Spread || zones[zone]+1 <= (j.Tasks+1)/2
 		}
-		for ; left > 0 && total < 200; left-- {
+		for ; left > 0 && total < rentAtOnce; left-- {
 			if room.cpus < j.CPUs-protocol.Epsilon || room.gpus < j.GPUs-protocol.Epsilon {
 				break
 			}
@@ -344,11 +353,15 @@
 		}
 	}
 	l.growHeadroom(bins, offers, rent)
+	// What many calls take is asked for at once, but some are left for returns: those
+	// are the quick proof that silent machines are gone.
 	for _, o := range order {
-		if !f.budget.Take(n.now, 1) {
-			return
+		for left := need[o.key()]; left > 0; left -= protocol.MaxRent {
+			if f.budget.Available(n.now) < 1+returnCalls || !f.budget.Take(n.now, 1) {
+				return
+			}
+			l.rent(o, min(left, protocol.MaxRent))
 		}
-		l.rent(o, min(need[o.key()], protocol.MaxRent))
 	}
 }
 
@@ -402,7 +415,7 @@
 	want := l.headroom(used)
 	for _, o := range offers {
 		for free < want-protocol.Epsilon {
-			if len(bins) > 100 {
+			if len(bins) > max(rentAtOnce, len(l.fleetList)) {
 				return
 			}
 			b := rent(o)
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -287,7 +287,7 @@
 	if len(l.fleetList) == 0 {
 		return false
 	}
-	listed := !l.fleet.listedAt.IsZero() && !l.fleet.listing
+	listed := l.fleet.listed // where the cloud is away, addresses come with reports alone
 	missing, known := 0, 0
 	for _, m := range l.fleetList {
 		// One that only a lagging list tells of may be gone already.
--- a/internal/coordination/listing.go
+++ b/internal/coordination/listing.go
@@ -30,7 +30,7 @@
 						page(list[len(list)-1].Name)
 						return
 					}
-					f.listing = false
+					f.listing, f.listed = false, true
 					l.compareList(all)
 					l.checkHeard()
 					return
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -68,6 +68,8 @@
 	emptying  bool // takes new tasks only when no other has room
 	draining  bool // to be returned: takes nothing more
 	releasing bool // its release was asked for
+	given     bool // for its silence alone, and no such call can have been carried out
+	inRelease bool // the call is under way
 	releaseAt time.Time
 	missing   time.Time // since when lists that should show it don't
 }
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -219,3 +220,60 @@
 		}
 	}
 }
+
+// A machine that was given up as silent and answers again is kept, unless the cloud
+// may have taken the return. While the cloud is away, every machine that was cut off
+// for a moment was lost once it came back.
+func TestGivenUpAndHeardAgain(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		out  Outcome
+		kept bool
+	}{
+		{"refused", Outcome{Answered: true, Status: 503}, true},
+		{"unanswered", Outcome{}, false},
+	} {
+		n, l := leading(active)
+		m := l.newMachine("vm-1", "small", "a", false)
+		m.up, m.recorded, m.addr, m.reached, m.session, m.seq = true, true, "x", n.now, 1, 50
+		n.take()
+		l.release(m, whySilent)
+		call := n.take().Calls[0]
+		l.reached(m, n.now)
+		if !m.releasing {
+			t.Errorf("%s: kept while the call was under way", c.name)
+		}
+		n.Result(n.now, call.ID, c.out)
+		l.probe(m)
+		for _, call := range n.take().Calls {
+			body := protocol.EncodeReport(&protocol.Report{Machine: "vm-1", Type: "small", Zone: "a", Session: 1, Seq: 60})
+			n.Result(n.now, call.ID, Outcome{Answered: true, Status: 200, Body: body})
+		}
+		if m.releasing == c.kept {
+			t.Errorf("%s: to be returned %t after it answered", c.name, m.releasing)
+		}
+	}
+}
+
+// Without the cloud's list a new leader knows no addresses and can only wait for
+// reports: it doesn't place as if it had heard everybody.
+func TestSettlingWithoutTheCloud(t *testing.T) {
+	n, l := leading(settling)
+	for i := range 10 {
+		m := l.newMachine(fmt.Sprintf("vm-%d", i), "small", "a", false)
+		m.inherited, m.rented = true, n.now.Add(-time.Hour)
+	}
+	l.listMachines()
+	n.Result(n.now, n.take().Calls[0].ID, Outcome{Answered: true, Status: 503})
+	if l.enoughHeard() {
+		t.Error("nobody was heard and the list is unknown")
+	}
+	for i, m := range l.fleetList {
+		if i < 8 {
+			m.reconciled, m.reached = true, n.now
+		}
+	}
+	if !l.enoughHeard() {
+		t.Error("eight of ten were heard")
+	}
+}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -22,7 +22,7 @@
 }
 
 // maxProgress bounds how many jobs' progress one message carries.
-const maxProgress = 500
+const maxProgress = 1500
 
 // publish tells the peers how this node is and, from a leader, how jobs go.
 func (n *Node) publish() {
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -201,12 +201,28 @@
 	return offer{spec: m.spec, spot: m.spot}.price() / m.spec.CPUs
 }
 
+// whySilent is why a machine is given up that may yet be heard again.
+const whySilent = "silent"
+
+// keep takes back the return of a machine that was given up as silent and has been
+// reached since, if the cloud can't have carried it out. Where the cloud is away as
+// well, machines that were cut off for a moment would otherwise all be lost once it
+// answers.
+func (l *lead) keep(m *machine) {
+	if m.releasing && m.given && !m.inRelease && !m.draining {
+		m.releasing, m.given = false, false
+		l.n.log.Info("machine heard before it was returned", "machine", m.name)
+		l.askPlace()
+	}
+}
+
 // release returns a machine. The answer proves that it and all on it is gone.
 func (l *lead) release(m *machine, why string) {
 	if m.releasing || m.removed {
 		return
 	}
 	m.releasing = true
+	m.given = why == whySilent
 	l.n.log.Info("returning machine", "machine", m.name, "why", why, "attempts", len(m.attempts), "silent", l.n.now.Sub(m.heard))
 	l.sendReleases()
 }
@@ -228,7 +244,7 @@
 		return
 	}
 	for _, m := range list {
-		m.releaseAt = n.now
+		m.releaseAt, m.inRelease = n.now, true
 	}
 	f.releasing = true
 	n.call(Cloud, "", "POST", protocol.PathRelease, protocol.ReleaseBody(names), cloudTimeout, func(out Outcome) {
@@ -236,6 +252,10 @@
 			return
 		}
 		f.releasing = false
+		for _, m := range list {
+			m.inRelease = false
+			m.given = m.given && out.Answered && out.Status != 200
+		}
 		if out.Answered && out.Status == 200 {
 			for _, m := range list {
 				l.machineGone(m, "returned")
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -10,6 +10,7 @@
 // reached notes that something of ours arrived at the worker, at or after at.
 func (l *lead) reached(m *machine, at time.Time) {
 	m.probeFails = 0
+	l.keep(m)
 	if m.reached.IsZero() {
 		l.askPlace()
 		l.checkHeard()
@@ -88,9 +89,12 @@
 			if len(m.attempts) == 0 {
 				continue
 			}
-			// It ran tasks for an earlier leader, and was asked since the records were
-			// read.
-			since = l.loadedAt
+			// It ran tasks for an earlier leader. Those that were asked since the records
+			// were read have been silent since then.
+			since = l.settled
+			if m.probeFails >= 3 {
+				since = l.loadedAt
+			}
 		}
 		if l.deaf.After(since) {
 			since = l.deaf
@@ -142,7 +146,7 @@
 		}
 		quiet := n.now.Sub(latest(m.heard, m.reached, l.deaf, l.elected))
 		if !zones[m.zone].cut() || quiet > n.cfg.WorkerLease {
-			l.release(m, "silent")
+			l.release(m, whySilent)
 		}
 	}
 }
@@ -190,7 +194,7 @@
 // probe asks a worker for its state: it may be reporting to another node, its
 // reports may be lost, or nothing of ours may reach it.
 func (l *lead) probe(m *machine) {
-	if m.probing || m.addr == "" || m.releasing || m.removed {
+	if m.probing || m.addr == "" || m.releasing && !m.given || m.removed {
 		return
 	}
 	m.probing = true
