--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -59,8 +59,11 @@
 	return job, chunk, err == nil && chunk >= 0
 }
 
-// KeyMachine is where a rented machine's record lies.
-func KeyMachine(name string) string { return PrefixMachines + name }
+// KeyMachines is where the record of some rented machines lies, by the term of the
+// leader that wrote it first and a counter of its own.
+func KeyMachines(term, counter uint64) string {
+	return fmt.Sprintf("%st%d-%d", PrefixMachines, term, counter)
+}
 
 // Leader is the record of who leads.
 type Leader struct {
@@ -122,11 +125,27 @@
 	return 0, 0, errors.New("bookkeeping: unknown outcome")
 }
 
-// Machine is the record of a rented machine.
+// Machines is the record of rented machines of one kind.
+type Machines struct {
+	Type     string    `json:"type"`
+	Zone     string    `json:"zone"`
+	Spot     bool      `json:"spot,omitempty"`
+	Machines []Machine `json:"m"`
+
+	// Of a record from before machines shared them, whose key ends with the name of
+	// its machine.
+	Rented int64 `json:"at,omitempty"`
+}
+
+// MachinesPerRecord is the number of machines whose record fits a value of the state
+// service, with long names.
+func MachinesPerRecord(valueBytes int) int {
+	return max(4, min(50, (valueBytes-256)/72))
+}
+
+// Machine is one of them.
 type Machine struct {
-	Type   string `json:"type"`
-	Zone   string `json:"zone"`
-	Spot   bool   `json:"spot,omitempty"`
+	Name   string `json:"n"`
 	Rented int64  `json:"at"` // Unix milliseconds
 }
 
--- /dev/null
+++ b/internal/coordination/groups.go
@@ -0,0 +1,136 @@
+package coordination
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// group is machines of one kind that share a record. A fleet comes by the hundred,
+// and nothing starts on a machine before its record is written: with a record for
+// each, the first placements waited for seconds behind those of booting machines.
+//
+// A group's machines are fixed once it is written for the first time and only grow
+// fewer, each after it was proven gone, so that a write that is applied late tells of
+// too many machines and never of too few.
+type group struct {
+	key       string
+	machines  []*machine
+	written   bool // for the first time, or about to be
+	shrunk    bool // waits to be written again
+	due       time.Time
+	typ, zone string
+	spot      bool
+}
+
+// groupDelay lets what goes together be written together.
+const groupDelay = 2 * time.Second
+
+// putMachine wants a machine recorded.
+func (g *journal) putMachine(m *machine) {
+	for _, k := range g.puts {
+		if !k.written && k.typ == m.typ && k.zone == m.zone && k.spot == m.spot && len(k.machines) < bookkeeping.MachinesPerRecord(g.l.n.cfg.ValueBytes) {
+			k.machines = append(k.machines, m)
+			m.group = k
+			return
+		}
+	}
+	g.groups++
+	// Never used again: terms are unique, and so is the counter within one.
+	k := &group{key: bookkeeping.KeyMachines(g.l.term, g.groups), machines: []*machine{m}, typ: m.typ, zone: m.zone, spot: m.spot}
+	m.group = k
+	g.puts = append(g.puts, k)
+}
+
+// removeMachine takes a machine that is gone out of its record.
+func (g *journal) removeMachine(m *machine) {
+	k := m.group
+	if k == nil {
+		return
+	}
+	m.group = nil
+	k.machines = slices.DeleteFunc(k.machines, func(o *machine) bool { return o == m })
+	switch {
+	case !k.written: // it will be without it
+	case len(k.machines) == 0:
+		g.remove(k.key)
+	case !k.shrunk:
+		k.shrunk, k.due = true, g.l.n.now.Add(groupDelay)
+		g.shrunk = append(g.shrunk, k)
+	}
+}
+
+// nextGroup is the next group to be written, nil when none is.
+func (g *journal) nextGroup() *group {
+	for len(g.puts) > 0 {
+		k := g.puts[0]
+		g.puts = g.puts[1:]
+		if len(k.machines) > 0 {
+			k.written = true
+			return k
+		}
+	}
+	for len(g.shrunk) > 0 && !g.l.n.now.Before(g.shrunk[0].due) {
+		k := g.shrunk[0]
+		g.shrunk = g.shrunk[1:]
+		k.shrunk = false
+		if len(k.machines) > 0 { // else its record is being removed
+			return k
+		}
+	}
+	return nil
+}
+
+func (k *group) record() json.RawMessage {
+	r := bookkeeping.Machines{Type: k.typ, Zone: k.zone, Spot: k.spot}
+	for _, m := range k.machines {
+		r.Machines = append(r.Machines, bookkeeping.Machine{Name: m.name, Rented: bookkeeping.Millis(m.rented)})
+	}
+	return bookkeeping.Encode(r)
+}
+
+// groupWritten notes that a group's record was applied.
+func (l *lead) groupWritten(k *group) {
+	for _, m := range k.machines {
+		if !m.recorded {
+			m.recorded = true
+			l.askPlace()
+		}
+	}
+}
+
+// loadGroup takes in a record of machines.
+func (l *lead) loadGroup(it protocol.Item) {
+	var r bookkeeping.Machines
+	if err := json.Unmarshal(it.Value, &r); err != nil {
+		l.n.log.Error("unreadable record of machines", "key", it.Key, "err", err)
+		return
+	}
+	if name, ok := cutPrefix(it.Key, bookkeeping.PrefixMachines); ok && len(r.Machines) == 0 {
+		r.Machines = []bookkeeping.Machine{{Name: name, Rented: r.Rented}}
+	}
+	k := &group{key: it.Key, written: true, typ: r.Type, zone: r.Zone, spot: r.Spot}
+	for _, rented := range r.Machines {
+		m := l.machines[rented.Name]
+		if m == nil {
+			m = l.newMachine(rented.Name, r.Type, r.Zone, r.Spot)
+		}
+		m.recorded, m.inherited = true, true
+		at := time.UnixMilli(rented.Rented)
+		if at.After(l.n.now) {
+			at = l.n.now
+		}
+		// Steady time only from here on.
+		m.rented = l.n.now.Add(-l.n.now.Round(0).Sub(at))
+		if m.group == nil {
+			m.group = k
+			k.machines = append(k.machines, m)
+		}
+	}
+	if len(k.machines) == 0 {
+		l.journal.remove(k.key) // all of them stand in other records
+	}
+}
--- /dev/null
+++ b/internal/coordination/groups_test.go
@@ -0,0 +1,114 @@
+package coordination
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// records plays the state service for a leader's transactions: it applies those
+// under way, and those that they lead to, and keeps the records of machines.
+func records(n *Node, kept map[string]json.RawMessage) (writes int) {
+	e := n.take()
+	for len(e.Calls) > 0 {
+		var next []Call
+		for _, c := range e.Calls {
+			if c.To != State || c.Target != protocol.PathMulti {
+				continue
+			}
+			t, err := protocol.ParseTxn(c.Body)
+			if err != nil {
+				panic(err)
+			}
+			for _, op := range t.Then {
+				writes++
+				if op.Delete != "" {
+					delete(kept, op.Delete)
+				} else if _, ok := cutPrefix(op.Put, bookkeeping.PrefixMachines); ok {
+					kept[op.Put] = op.Value
+				}
+			}
+			next = append(next, n.Result(n.now, c.ID, Outcome{Answered: true, Status: 200, Body: protocol.EncodeRevision(20)}).Calls...)
+		}
+		e.Calls = next
+	}
+	return writes
+}
+
+// names are the machines that a next leader would load.
+func names(kept map[string]json.RawMessage) []string {
+	_, l := leading(loading)
+	for key, value := range kept {
+		l.loadGroup(protocol.Item{Key: key, Value: value})
+	}
+	var list []string
+	for name, m := range l.machines {
+		if !m.recorded || !m.inherited || m.group == nil {
+			panic(name)
+		}
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// A fleet that comes by the hundred is recorded with a few writes, and what is on
+// record are at any time at least the machines that aren't proven gone: with a write
+// for each machine, the first placements waited four seconds behind them.
+func TestMachinesShareRecords(t *testing.T) {
+	n, l := leading(active)
+	kept := map[string]json.RawMessage{}
+	const count = 320
+	for i := range count {
+		l.journal.putMachine(l.newMachine(fmt.Sprintf("vm-%03d", i), "small", "a", i%4 == 0))
+	}
+	writes := 0
+	for range 20 { // the budget of writes is small here
+		n.now = n.now.Add(200 * time.Millisecond)
+		writes += records(n, kept)
+	}
+	if writes > 10 {
+		t.Errorf("%d machines took %d writes", count, writes)
+	}
+	if got := names(kept); len(got) != count {
+		t.Fatalf("%d machines on record", len(got))
+	}
+	for i, m := range slices.Clone(l.fleetList) {
+		if !m.recorded {
+			t.Fatalf("%s isn't taken for recorded", m.name)
+		}
+		if i >= 10 {
+			l.machineGone(m, "returned")
+		}
+		for _, name := range []string{"vm-000", "vm-009"} {
+			if !slices.Contains(names(kept), name) {
+				t.Fatalf("%s is off the record", name)
+			}
+		}
+		if i%100 == 0 {
+			n.now = n.now.Add(200 * time.Millisecond)
+			records(n, kept)
+		}
+	}
+	for range 20 {
+		n.now = n.now.Add(500 * time.Millisecond)
+		records(n, kept)
+	}
+	if got := names(kept); len(got) != 10 {
+		t.Errorf("%d machines on record, want the ten that are left", len(got))
+	}
+}
+
+// A record from before machines shared them is understood.
+func TestLoadsSingleMachine(t *testing.T) {
+	_, l := leading(loading)
+	l.loadGroup(protocol.Item{Key: bookkeeping.PrefixMachines + "vm-7", Value: json.RawMessage(`{"type":"small","zone":"a","spot":true,"at":1}`)})
+	if m := l.machines["vm-7"]; m == nil || !m.spot || m.typ != "small" || !m.recorded {
+		t.Errorf("loaded %+v", m)
+	}
+}
--- a/internal/coordination/journal.go
+++ b/internal/coordination/journal.go
@@ -36,8 +36,10 @@
 	budget  *bookkeeping.Budget
 	urgent  []*chunk
 	lazy    []*chunk
-	ends    []*job     // to be recorded as done
-	puts    []*machine // machine records to be written
+	ends    []*job   // to be recorded as done
+	puts    []*group // records of machines to be written
+	shrunk  []*group // those to be written again some time
+	groups  uint64   // made by this leader
 	extra   []protocol.Op
 	removes []string // keys
 	after   []afterRemoval
@@ -83,9 +85,8 @@
 	g.touch(c)
 }
 
-func (g *journal) finish(j *job)         { g.ends = append(g.ends, j) }
-func (g *journal) putMachine(m *machine) { g.puts = append(g.puts, m) }
-func (g *journal) remove(key string)     { g.removes = append(g.removes, key) }
+func (g *journal) finish(j *job)     { g.ends = append(g.ends, j) }
+func (g *journal) remove(key string) { g.removes = append(g.removes, key) }
 
 // removeJob removes a job's records, the job's own last: by it a later leader
 // finds the others.
@@ -108,7 +109,7 @@
 	starts  [][]*attempt // per chunk
 	saved   [][]*task    // per chunk
 	ends    []*job
-	puts    []*machine
+	puts    []*group
 	extra   []protocol.Op
 	removes []string
 }
@@ -143,6 +144,11 @@
 	if len(g.lazy) > 0 {
 		lazyDue = max(0, g.lazy[0].due.Sub(n.now))
 	}
+	if len(g.shrunk) > 0 {
+		if due := max(0, g.shrunk[0].due.Sub(n.now)); lazyDue < 0 || due < lazyDue {
+			lazyDue = due
+		}
+	}
 	if len(g.urgent)+len(g.ends)+len(g.puts)+len(g.extra)+len(g.removes) == 0 && lazyDue != 0 {
 		if lazyDue > 0 {
 			g.wakeIn(lazyDue)
@@ -167,15 +173,13 @@
 		b.when(bookkeeping.KeyOutcome(j.ID), 0)
 		b.op(protocol.Op{Put: bookkeeping.KeyOutcome(j.ID), Value: bookkeeping.EncodeOutcome(protocol.Done, j.Tasks)})
 	}
-	for len(g.puts) > 0 && fits() {
-		m := g.puts[0]
-		g.puts = g.puts[1:]
-		if m.removed {
-			continue
+	for fits() {
+		k := g.nextGroup()
+		if k == nil {
+			break
 		}
-		b.puts = append(b.puts, m)
-		b.op(protocol.Op{Put: bookkeeping.KeyMachine(m.name), Value: bookkeeping.Encode(bookkeeping.Machine{
-			Type: m.typ, Zone: m.zone, Spot: m.spot, Rented: bookkeeping.Millis(m.rented)})})
+		b.puts = append(b.puts, k)
+		b.op(protocol.Op{Put: k.key, Value: k.record()})
 	}
 	if len(g.urgent) > 1 {
 		slices.SortStableFunc(g.urgent, func(a, b *chunk) int { return int(b.job.Priority) - int(a.job.Priority) })
@@ -297,11 +301,8 @@
 				l.directSoon(a.machine)
 			}
 		}
-		for _, m := range b.puts {
-			if !m.recorded {
-				m.recorded = true
-				l.askPlace()
-			}
+		for _, k := range b.puts {
+			l.groupWritten(k)
 		}
 		for _, j := range b.ends {
 			n.admission.setFinal(j.ID, protocol.Done, j.Tasks)
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -228,7 +228,7 @@
 		}
 		n.storeList(bookkeeping.PrefixMachines, l.alive, func(items []protocol.Item, _ uint64) {
 			for _, it := range items {
-				l.loadMachine(it)
+				l.loadGroup(it)
 			}
 			n.storeList(bookkeeping.PrefixChunks, l.alive, func(items []protocol.Item, _ uint64) {
 				for _, it := range items {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -1,11 +1,9 @@
 package coordination
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
-	"brasskeel/internal/bookkeeping"
 	"brasskeel/internal/protocol"
 )
 
@@ -16,8 +14,9 @@
 	spot       bool
 	spec       *protocol.MachineType
 	rented     time.Time
-	inherited  bool // known from an earlier leader's record
-	recorded   bool // its own record is written: placements may name it
+	inherited  bool   // known from an earlier leader's record
+	recorded   bool   // a record that names it is written: placements may name it
+	group      *group // whose record that is
 	removed    bool
 
 	// From reports.
@@ -82,26 +81,6 @@
 	return m
 }
 
-func (l *lead) loadMachine(it protocol.Item) {
-	name, ok := cutPrefix(it.Key, bookkeeping.PrefixMachines)
-	var r bookkeeping.Machine
-	if !ok || json.Unmarshal(it.Value, &r) != nil {
-		l.n.log.Error("unreadable machine record", "key", it.Key)
-		return
-	}
-	m := l.machines[name]
-	if m == nil {
-		m = l.newMachine(name, r.Type, r.Zone, r.Spot)
-	}
-	m.recorded, m.inherited = true, true
-	m.rented = time.UnixMilli(r.Rented)
-	if m.rented.After(l.n.now) {
-		m.rented = l.n.now
-	}
-	// Steady time only from here on.
-	m.rented = l.n.now.Add(-l.n.now.Round(0).Sub(m.rented))
-}
-
 // adopt takes in a machine that no record tells of: rented by a request whose
 // answer was lost, or by one that was carried out late.
 func (l *lead) adopt(name, typ, zone string, spot bool, age time.Duration) *machine {
@@ -489,7 +468,7 @@
 	for _, a := range m.sorted() {
 		l.detach(a, "machine gone")
 	}
-	l.journal.remove(bookkeeping.KeyMachine(m.name))
+	l.journal.removeMachine(m)
 }
 
 func (m *machine) cacheGB() float64 {
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -61,7 +61,7 @@
 		t.Fatalf("machine %v, %d records to write while loading", m, len(l.journal.puts))
 	}
 	l.loaded()
-	if len(l.journal.puts) != 1 || l.journal.puts[0] != m {
+	if len(l.journal.puts) != 1 || l.journal.puts[0].machines[0] != m {
 		t.Errorf("%d machine records to write", len(l.journal.puts))
 	}
 }
