--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -25,6 +25,7 @@
 	Zones    []string // of the nodes in turn; machines can be had in each
 	Machines int      // ordinary ones that run from the start, in zones in turn
 	Capacity int      // machines that can be rented per type, zone and kind
+	Fleet    bool     // limits, budgets and intervals of a fleet of a thousand machines
 	Log      io.Writer
 }
 
@@ -135,6 +136,15 @@
 		CloudRPS: 4, ListLag: 5 * time.Second,
 		CPUShare: 0.1, MemoryBytes: 98 << 20, Sockets: 900,
 	}
+	if o.Fleet {
+		s := &c.settings
+		for i := range s.Teams {
+			s.Teams[i].CPUs, s.Teams[i].CPUsMax = 2000, 6000
+		}
+		s.ReportInterval, s.WorkerLease, s.CancelWithin = 4*time.Second, 28*time.Second, 48*time.Second
+		s.StateRPS, s.StateWriteRPS, s.TxnOps, s.ListLag = 400, 150, 16, 12*time.Second
+		s.CPUShare, s.MemoryBytes, s.Sockets = 0.3, 322<<20, 2900
+	}
 	c.state = newStateService(c)
 	c.cloud = newCloud(c, types(o.Zones), o.Capacity)
 	for i := range o.Machines {
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -133,7 +133,7 @@
 	case "start":
 		o := Options{Seed: uint64(number(t, d, "seed", "1")), Nodes: int(number(t, d, "nodes", "3")),
 			Machines: int(number(t, d, "machines", "4")), Capacity: int(number(t, d, "capacity", "20")),
-			Zones: strings.Split(arg(d, "zones", "a"), ",")}
+			Zones: strings.Split(arg(d, "zones", "a"), ","), Fleet: arg(d, "fleet", "") != ""}
 		if os.Getenv("SCENARIO_LOG") != "" {
 			o.Log = os.Stderr
 		}
@@ -227,31 +227,15 @@
 		return ""
 	case "machine":
 		// machine WHAT NAME
-		h := r.host(t, d, d.CmdArgs[1].Key)
-		switch first(t, d) {
-		case "hang":
-			h.worker.hang(true)
-		case "resume":
-			if h.worker == nil || h.worker.dead {
-				return "gone"
+		if strings.HasPrefix(d.CmdArgs[1].Key, "machines:") {
+			for _, name := range r.hosts(t, d, d.CmdArgs[1].Key) {
+				if out := r.trouble(t, d, name); out != "" {
+					return out
+				}
 			}
-			h.worker.hang(false)
-		case "fail":
-			r.c.cloud.fail(h)
-		case "take":
-			r.c.cloud.end(h)
-		case "notice":
-			h.worker.notice = r.c.now.Add(duration(t, d, arg(d, "in", "20s")))
-			h.worker.change()
-			r.c.after(duration(t, d, arg(d, "in", "20s")), func() { r.c.cloud.end(h) })
-		case "sick":
-			h.worker.sick = true
-		case "reboot":
-			h.worker.reboot()
-		default:
-			d.Fatalf(t, "unknown trouble")
+			return ""
 		}
-		return ""
+		return r.trouble(t, d, d.CmdArgs[1].Key)
 	case "cut":
 		// cut A B [hold] [oneway] [reset]: a host, "zone:Z", "machines" or "nodes";
 		// oneway stops only what A sends to B, reset does so by ending connections.
@@ -307,8 +291,51 @@
 	return ""
 }
 
+// trouble befalls a machine.
+func (r *runner) trouble(t *testing.T, d *datadriven.TestData, name string) string {
+	h := r.host(t, d, name)
+	switch first(t, d) {
+	case "hang":
+		h.worker.hang(true)
+	case "resume":
+		if h.worker == nil || h.worker.dead {
+			return "gone"
+		}
+		h.worker.hang(false)
+	case "fail":
+		r.c.cloud.fail(h)
+	case "take":
+		r.c.cloud.end(h)
+	case "notice":
+		h.worker.notice = r.c.now.Add(duration(t, d, arg(d, "in", "20s")))
+		h.worker.change()
+		r.c.after(duration(t, d, arg(d, "in", "20s")), func() { r.c.cloud.end(h) })
+	case "sick":
+		h.worker.sick = true
+	case "reboot":
+		h.worker.reboot()
+	default:
+		d.Fatalf(t, "unknown trouble")
+	}
+	return ""
+}
+
+// hosts are those that a name stands for: one, "zone:Z", "machines", "machines:N" for
+// the first N that run, or "nodes".
 func (r *runner) hosts(t *testing.T, d *datadriven.TestData, name string) []string {
 	var list []string
+	if count, ok := strings.CutPrefix(name, "machines:"); ok {
+		n, err := strconv.Atoi(count)
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		for _, h := range r.c.cloud.hosts {
+			if len(list) < n && h.worker != nil && !h.worker.dead {
+				list = append(list, h.name)
+			}
+		}
+		return list
+	}
 	switch zone, isZone := strings.CutPrefix(name, "zone:"); {
 	case name == "machines" || isZone:
 		for _, h := range r.c.cloud.hosts {
--- a/internal/transport/loop_test.go
+++ b/internal/transport/loop_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -189,6 +190,10 @@
 	if c := <-got; c.accepted < len(clients) || c.accepted+c.outgoing > e.loop.maxConns {
 		t.Errorf("%d accepted and %d of ours with a limit of %d", c.accepted, c.outgoing, e.loop.maxConns)
 	}
+	// Connections and calls are no threads: 2,000 are the most that a process may have.
+	if tasks, err := os.ReadDir("/proc/self/task"); err == nil && len(tasks) > 100 {
+		t.Errorf("%d threads", len(tasks))
+	}
 }
 
 // TestPeers checks that what one controller publishes reaches the other over
