--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -254,7 +254,7 @@
 		f.releasing = false
 		for _, m := range list {
 			m.inRelease = false
-			m.given = m.given && out.Answered && out.Status != 200
+			m.given = m.given && out.Answered && (out.Status == 503 || out.Status == 429) // not carried out
 		}
 		if out.Answered && out.Status == 200 {
 			for _, m := range list {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -40,7 +40,7 @@
 // give way to workers and users that come, since a fleet that reconnects at once
 // takes more than any fixed share of it.
 const (
-	allShare      = 92
+	allShare      = 88 // those that are closing take some more for a moment
 	outgoingShare = 40 // of ours at the most
 	outgoingKept  = 12 // that don't give way to accepted ones
 	storeShare    = 4  // more of ours, for the state service alone
