--- /dev/null
+++ b/internal/coordination/attempts.go
@@ -0,0 +1,223 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// attach makes an attempt count: for its machine, its team's limit and its
+// job's zones, until detach.
+func (l *lead) attach(a *attempt) {
+	j, m := a.job, a.machine
+	j.task(a.task).live = a
+	j.live++
+	j.zones[m.zone]++
+	m.attempts[taskKey{j.ID, a.task}] = a
+	a.place = len(m.list)
+	m.list = append(m.list, a)
+	m.wanted.add(j.image, 1)
+	m.cpus += j.CPUs
+	if !j.Spot {
+		m.fixed += j.CPUs
+	}
+	m.kept[j.Priority] += j.CPUs
+	if a.stop {
+		l.noteStop(a, 1)
+	}
+	if j.Kind == protocol.Service {
+		m.services += j.CPUs
+		m.replicas++
+	}
+	m.gpus += j.GPUs
+	m.mem += j.MemGB
+	u := l.teams[j.Team]
+	if u == nil {
+		u = &usage{}
+		l.teams[j.Team] = u
+	}
+	u.cpus += j.CPUs
+	u.gpus += j.GPUs
+}
+
+// detach ends an attempt's account. It must be called only on proof that the
+// attempt is gone and can't start any more.
+func (l *lead) detach(a *attempt, why string) {
+	j, m := a.job, a.machine
+	t := j.task(a.task)
+	if t.live != a {
+		return
+	}
+	l.n.log.Debug("attempt gone", "job", j.ID, "task", a.task, "attempt", a.number, "machine", m.name, "why", why)
+	l.setState(a, 0)
+	t.live = nil
+	j.live--
+	if j.zones[m.zone]--; j.zones[m.zone] == 0 {
+		delete(j.zones, m.zone)
+	}
+	delete(m.attempts, taskKey{j.ID, a.task})
+	last := m.list[len(m.list)-1]
+	m.list[a.place], last.place = last, a.place
+	m.list[len(m.list)-1] = nil
+	m.list = m.list[:len(m.list)-1]
+	m.wanted.add(j.image, -1)
+	if a.stop {
+		l.noteStop(a, -1)
+	}
+	m.cpus -= j.CPUs
+	m.kept[j.Priority] -= j.CPUs
+	if !j.Spot {
+		m.fixed -= j.CPUs
+	}
+	if j.Kind == protocol.Service {
+		m.services -= j.CPUs
+		m.replicas--
+	}
+	m.gpus -= j.GPUs
+	m.mem -= j.MemGB
+	if len(m.attempts) == 0 {
+		m.cpus, m.gpus, m.mem, m.services, m.fixed = 0, 0, 0, 0, 0 // no rounding left behind
+		m.kept, m.ending, m.endingMem = [protocol.Critical + 1]float64{}, usage{}, 0
+		m.emptySince = l.n.now
+	}
+	u := l.teams[j.Team]
+	u.cpus -= j.CPUs
+	u.gpus -= j.GPUs
+	if j.outcome == 0 && !t.done {
+		j.waiting = append(j.waiting, a.task)
+	}
+	if j.outcome == 0 {
+		l.journal.touchLazy(j.chunk(a.task))
+	}
+	l.jobProgressed(j)
+	l.askPlace()
+}
+
+// setState notes an attempt's reported state.
+func (l *lead) setState(a *attempt, s protocol.TaskState) {
+	if a.state == s {
+		return
+	}
+	if a.state == protocol.Running {
+		a.job.running--
+	}
+	if s == protocol.Running {
+		a.job.running++
+		if !a.inherited {
+			l.n.log.Debug("task runs", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name,
+				"within", a.job.within, "placed", l.n.now.Sub(a.placed), "age", l.n.now.Round(0).Sub(a.job.submitted))
+		}
+	}
+	a.state, a.since = s, l.n.now
+}
+
+// taskDone notes that a task has completed, whichever attempt did it.
+func (l *lead) taskDone(j *job, i int) {
+	t := j.task(i)
+	if t.done || j.Kind == protocol.Service {
+		return
+	}
+	t.done = true
+	j.doneCount++
+	j.errors = 0
+	if t.live != nil {
+		l.stopAttempt(t.live, 0)
+	} else if k := slices.Index(j.waiting, i); k >= 0 {
+		j.waiting = slices.Delete(j.waiting, k, k+1)
+	}
+	l.journal.touchLazy(j.chunk(i))
+	l.jobProgressed(j)
+}
+
+// jobProgressed writes the outcome of a complete job and removes the records
+// of one that is over and has no attempt left.
+func (l *lead) jobProgressed(j *job) {
+	if l.phase == loading {
+		return
+	}
+	if j.outcome == 0 && !j.finishing && j.Kind != protocol.Service && j.doneCount == j.Tasks {
+		j.finishing = true
+		l.journal.finish(j)
+	}
+	if j.outcome != 0 && j.live == 0 && !j.removed {
+		j.removed = true
+		l.journal.removeJob(j)
+	}
+}
+
+// jobOver notes a recorded outcome. No task of the job starts any more, and
+// those that run are stopped.
+func (l *lead) jobOver(j *job, s protocol.JobState) {
+	if j.outcome != 0 {
+		return
+	}
+	j.outcome = s
+	l.n.log.Info("job over", "job", j.ID, "cancelled", s == protocol.Cancelled, "done", j.doneCount, "live", j.live)
+	j.waiting = nil
+	j.next = j.Tasks
+	for _, c := range j.chunks {
+		if c == nil {
+			continue
+		}
+		for i := range c.tasks {
+			if a := c.tasks[i].live; a != nil {
+				l.stopAttempt(a, 0)
+			}
+		}
+	}
+	l.jobProgressed(j)
+	l.askPlace()
+}
+
+// forgetJob drops a job whose records are removed.
+func (l *lead) forgetJob(j *job) {
+	delete(l.jobs, j.ID)
+	if i := slices.Index(l.order, j); i >= 0 {
+		l.order = slices.Delete(l.order, i, i+1)
+	}
+}
+
+// stopAttempt wants an attempt ended. One whose start never left is gone at
+// once.
+func (l *lead) stopAttempt(a *attempt, grace time.Duration) {
+	if a.stop && a.grace <= grace {
+		return
+	}
+	if !a.stop {
+		a.stop = true
+		l.noteStop(a, 1)
+	}
+	a.grace, a.stopSent = grace, time.Time{}
+	if l.neverSent(a) && !l.beingRecorded(a) {
+		l.detach(a, "never sent")
+		return
+	}
+	l.directSoon(a.machine)
+}
+
+func (l *lead) neverSent(a *attempt) bool {
+	return !a.inherited && !a.seen && a.sentSession == 0 && !a.direct && a.directToken == 0
+}
+
+// beingRecorded reports whether a write that holds the attempt may be under
+// way; it is dealt with when that ends.
+func (l *lead) beingRecorded(a *attempt) bool {
+	return !a.recorded && a.job.chunk(a.task).inFlight
+}
+
+// noteStop counts an attempt among those that were told to end, or takes it out.
+// Whoever looks for room needs the sums of a machine or a team, for every job and
+// task: found anew each time they cost a leader with thousands of waiting tasks
+// seconds at a time, more than its lease.
+func (l *lead) noteStop(a *attempt, by int) {
+	j, m, sign := a.job, a.machine, float64(by)
+	m.stops += by
+	m.ending.cpus += sign * j.CPUs
+	m.ending.gpus += sign * j.GPUs
+	m.endingMem += sign * j.MemGB
+	s := l.stopped[j.Team]
+	s.cpus += sign * j.CPUs
+	s.gpus += sign * j.GPUs
+	l.stopped[j.Team] = s
+}
