--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -25,18 +26,38 @@
 	for seed := range days {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			chaos(t, uint64(seed))
+			chaos(t, uint64(seed), false)
 		})
 	}
 }
 
-func chaos(t *testing.T, seed uint64) {
+// TestChaosFleet plays such days with a thousand machines and tens of thousands of
+// tasks, where up to a third of the machines meets the same trouble at once.
+// CHAOS_FLEETS sets how many.
+func TestChaosFleet(t *testing.T) {
+	days := 1
+	if s := os.Getenv("CHAOS_FLEETS"); s != "" {
+		days, _ = strconv.Atoi(s)
+	}
+	for seed := range days {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			chaos(t, uint64(seed), true)
+		})
+	}
+}
+
+func chaos(t *testing.T, seed uint64, fleet bool) {
 	rng := rand.New(rand.NewPCG(seed, 99))
 	zones := [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}}[rng.IntN(3)]
 	o := Options{Seed: seed, Nodes: 3, Zones: zones, Machines: 3 + rng.IntN(4), Capacity: 3 + rng.IntN(8)}
 	if os.Getenv("SCENARIO_LOG") != "" {
 		o.Log = os.Stderr
 	}
+	scale := 1
+	if fleet {
+		o.Fleet, o.Machines, o.Capacity, scale = true, 1000, 300, 100
+	}
 	c := New(o)
 	c.copies = rng.IntN(2) == 0
 	if rng.IntN(2) == 0 {
@@ -48,7 +69,7 @@
 	submit := func() {
 		count++
 		spec := protocol.Job{ID: fmt.Sprintf("run-%06d", count), Class: []string{"one", "two"}[rng.IntN(2)], Team: []string{"red", "blue"}[rng.IntN(2)],
-			Kind: protocol.Batch, Priority: protocol.Priority(1 + rng.IntN(4)), Tasks: 1 + rng.IntN(9), CPUs: float64(1 + rng.IntN(2)),
+			Kind: protocol.Batch, Priority: protocol.Priority(1 + rng.IntN(4)), Tasks: (1 + rng.IntN(9)) * scale, CPUs: float64(1 + rng.IntN(2)),
 			MemGB: 2, Image: fmt.Sprintf("img-%d", rng.IntN(4)), ImageGB: 0.5 + rng.Float64(), Spot: rng.IntN(2) == 0,
 			Spread: rng.IntN(5) == 0 && len(zones) > 1, OneZone: rng.IntN(5) == 0}
 		run := time.Duration(2+rng.IntN(25)) * time.Second
@@ -66,7 +87,8 @@
 			}
 		})
 	}
-	host := func() *host {
+	// Those that trouble befalls: one, or in a fleet up to a third.
+	hosts := func() []*host {
 		var up []*host
 		for _, h := range c.cloud.hosts {
 			if h.worker != nil && !h.worker.dead {
@@ -76,7 +98,11 @@
 		if len(up) == 0 {
 			return nil
 		}
-		return up[rng.IntN(len(up))]
+		first, count := rng.IntN(len(up)), 1
+		if fleet {
+			count = 1 + rng.IntN(1+len(up)/3)
+		}
+		return up[first:min(first+count, len(up))]
 	}
 	later := func(most int, f func()) {
 		c.after(time.Duration(500+rng.IntN(most*1000))*time.Millisecond, f)
@@ -95,7 +121,7 @@
 		n := c.nodes[rng.IntN(3)]
 		switch rng.IntN(19) {
 		case 14: // reports arrive, nothing of ours does
-			if h := host(); h != nil {
+			for _, h := range hosts() {
 				reset := rng.IntN(2) == 0
 				for _, p := range c.nodes {
 					if reset {
@@ -127,15 +153,20 @@
 				c.Advance(time.Duration(rng.IntN(300)) * time.Millisecond)
 			}
 		case 17:
-			if h := host(); h != nil && !h.worker.hung {
+			list := slices.DeleteFunc(slices.Clone(hosts()), func(h *host) bool { return h.worker.hung })
+			for _, h := range list {
 				h.worker.hang(true)
+			}
+			if len(list) > 0 {
 				c.Advance(time.Duration(50+rng.IntN(900)) * time.Millisecond)
+			}
+			for _, h := range list {
 				if !h.worker.dead {
 					h.worker.hang(false)
 				}
 			}
 		case 18:
-			if h := host(); h != nil {
+			for _, h := range hosts() {
 				h.worker.reboot()
 			}
 		case 0, 1:
@@ -166,8 +197,11 @@
 			c.cloud.late = time.Duration(rng.IntN(9000)) * time.Millisecond
 			later(6, func() { c.cloud.late = 0 })
 		case 7, 8:
-			if h := host(); h != nil && !h.worker.hung {
+			for _, h := range hosts() {
 				w := h.worker
+				if w.hung {
+					continue
+				}
 				w.hang(true)
 				later(25, func() {
 					if !w.dead {
@@ -176,17 +210,17 @@
 				})
 			}
 		case 9:
-			if h := host(); h != nil {
+			for _, h := range hosts() {
 				c.cloud.fail(h)
 			}
 		case 10:
-			if h := host(); h != nil {
+			for _, h := range hosts() {
 				h.worker.notice = c.now.Add(10 * time.Second)
 				h.worker.change()
 				c.after(10*time.Second, func() { c.cloud.end(h) })
 			}
 		case 11:
-			if h := host(); h != nil {
+			for _, h := range hosts() {
 				c.Cut(n.name, h.name, rng.IntN(2) == 0)
 				later(15, c.Heal)
 			}
@@ -202,7 +236,7 @@
 			}
 			later(20, c.Heal)
 		case 13:
-			if h := host(); h != nil {
+			for _, h := range hosts() {
 				w := h.worker
 				w.sick = true
 				later(20, func() { w.sick = false })
