--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -307,7 +307,6 @@
 		u := l.teams[name]
 		rooms[name] = &usage{t.CPUsMax - u.cpus, t.GPUsMax - u.gpus}
 	}
-	thrift := thrift{l: l}
 	for _, d := range f.unmet {
 		j := d.job
 		left := min(d.left, j.toStart())
@@ -326,7 +325,6 @@
 			}
 			return !j.Spread || zones[zone]+1 <= (j.Tasks+1)/2
 		}
-		open := thrift.affordable(offers, j, left)
 		for ; left > 0 && total < rentAtOnce; left-- {
 			if room.cpus < j.CPUs-protocol.Epsilon || room.gpus < j.GPUs-protocol.Epsilon {
 				break
@@ -344,7 +342,7 @@
 			if placed {
 				continue
 			}
-			o, ok := bestOffer(open, j.Job, left, allows)
+			o, ok := bestOffer(offers, j.Job, left, allows)
 			if !ok {
 				break
 			}
