--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -21,7 +21,8 @@
 	Progress map[string][2]int `json:"progress,omitempty"`
 }
 
-// maxProgress bounds how many jobs' progress one message carries.
+// maxProgress bounds how many jobs' progress one message carries, so that it fits the
+// line of 64 KiB that a peer takes. Users of the jobs beyond see no counts.
 const maxProgress = 1500
 
 // publish tells the peers how this node is and, from a leader, how jobs go.
