--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -140,13 +140,14 @@
 // MachinesPerRecord is the number of machines whose record fits a value of the state
 // service, with long names.
 func MachinesPerRecord(valueBytes int) int {
-	return max(4, min(50, (valueBytes-256)/72))
+	return max(4, min(50, (valueBytes-256)/104))
 }
 
 // Machine is one of them.
 type Machine struct {
 	Name   string `json:"n"`
 	Rented int64  `json:"at"` // Unix milliseconds
+	Addr   string `json:"a,omitempty"`
 }
 
 // TaskRecord is what a chunk keeps of a task that was started and isn't done.
--- a/internal/coordination/groups.go
+++ b/internal/coordination/groups.go
@@ -20,14 +20,16 @@
 	key       string
 	machines  []*machine
 	written   bool // for the first time, or about to be
-	shrunk    bool // waits to be written again
+	changed   bool // waits to be written again
 	due       time.Time
 	typ, zone string
 	spot      bool
 }
 
-// groupDelay lets what goes together be written together.
-const groupDelay = 2 * time.Second
+// groupDelay lets changes of a group be written together: machines that are gone, and
+// the addresses of those that come up. The next leader asks them there at once, without
+// the cloud's list, which it may not get.
+const groupDelay = 5 * time.Second
 
 // putMachine wants a machine recorded.
 func (g *journal) putMachine(m *machine) {
@@ -57,9 +59,16 @@
 	case !k.written: // it will be without it
 	case len(k.machines) == 0:
 		g.remove(k.key)
-	case !k.shrunk:
-		k.shrunk, k.due = true, g.l.n.now.Add(groupDelay)
-		g.shrunk = append(g.shrunk, k)
+	default:
+		g.changeGroup(k)
+	}
+}
+
+// changeGroup wants a group's record written again some time.
+func (g *journal) changeGroup(k *group) {
+	if k != nil && k.written && !k.changed {
+		k.changed, k.due = true, g.l.n.now.Add(groupDelay)
+		g.changed = append(g.changed, k)
 	}
 }
 
@@ -73,10 +82,10 @@
 			return k
 		}
 	}
-	for len(g.shrunk) > 0 && !g.l.n.now.Before(g.shrunk[0].due) {
-		k := g.shrunk[0]
-		g.shrunk = g.shrunk[1:]
-		k.shrunk = false
+	for len(g.changed) > 0 && !g.l.n.now.Before(g.changed[0].due) {
+		k := g.changed[0]
+		g.changed = g.changed[1:]
+		k.changed = false
 		if len(k.machines) > 0 { // else its record is being removed
 			return k
 		}
@@ -87,7 +96,7 @@
 func (k *group) record() json.RawMessage {
 	r := bookkeeping.Machines{Type: k.typ, Zone: k.zone, Spot: k.spot}
 	for _, m := range k.machines {
-		r.Machines = append(r.Machines, bookkeeping.Machine{Name: m.name, Rented: bookkeeping.Millis(m.rented)})
+		r.Machines = append(r.Machines, bookkeeping.Machine{Name: m.name, Rented: bookkeeping.Millis(m.rented), Addr: m.addr})
 	}
 	return bookkeeping.Encode(r)
 }
@@ -119,6 +128,9 @@
 			m = l.newMachine(rented.Name, r.Type, r.Zone, r.Spot)
 		}
 		m.recorded, m.inherited = true, true
+		if m.addr == "" {
+			m.addr = rented.Addr
+		}
 		at := time.UnixMilli(rented.Rented)
 		if at.After(l.n.now) {
 			at = l.n.now
--- a/internal/coordination/groups_test.go
+++ b/internal/coordination/groups_test.go
@@ -104,6 +104,35 @@
 	}
 }
 
+// The address of a machine that has come up is on record, so that the next leader can
+// ask it while the cloud's list can't be had.
+func TestAddressesAreRecorded(t *testing.T) {
+	n, l := leading(active)
+	kept := map[string]json.RawMessage{}
+	l.journal.putMachine(l.newMachine("vm-1", "small", "a", false))
+	records(n, kept)
+	n.Request(n.now, 1, "POST", protocol.PathReport, report(4))
+	n.now = n.now.Add(groupDelay + time.Second)
+	records(n, kept)
+	next, leader := leading(loading)
+	for key, value := range kept {
+		leader.loadGroup(protocol.Item{Key: key, Value: value})
+	}
+	if got := leader.machines["vm-1"]; got == nil || got.addr != "x" {
+		t.Fatalf("loaded %+v", got)
+	}
+	leader.loaded()
+	next.now = next.now.Add(2 * askAfter)
+	leader.watchMachines()
+	asked := false
+	for _, c := range next.take().Calls {
+		asked = asked || c.To == Worker && c.Addr == "x"
+	}
+	if !asked {
+		t.Error("the next leader doesn't ask the machine without the cloud's list")
+	}
+}
+
 // A record from before machines shared them is understood.
 func TestLoadsSingleMachine(t *testing.T) {
 	_, l := leading(loading)
--- a/internal/coordination/journal.go
+++ b/internal/coordination/journal.go
@@ -38,7 +38,7 @@
 	lazy    []*chunk
 	ends    []*job   // to be recorded as done
 	puts    []*group // records of machines to be written
-	shrunk  []*group // those to be written again some time
+	changed []*group // those to be written again some time
 	groups  uint64   // made by this leader
 	extra   []protocol.Op
 	removes []string // keys
@@ -144,8 +144,8 @@
 	if len(g.lazy) > 0 {
 		lazyDue = max(0, g.lazy[0].due.Sub(n.now))
 	}
-	if len(g.shrunk) > 0 {
-		if due := max(0, g.shrunk[0].due.Sub(n.now)); lazyDue < 0 || due < lazyDue {
+	if len(g.changed) > 0 {
+		if due := max(0, g.changed[0].due.Sub(n.now)); lazyDue < 0 || due < lazyDue {
 			lazyDue = due
 		}
 	}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -176,8 +176,9 @@
 	}
 	newSession := r.Session != m.session
 	m.session, m.seq, m.token, m.heard = r.Session, r.Seq, r.Token, n.now
-	if r.Addr != "" {
+	if r.Addr != "" && r.Addr != m.addr {
 		m.addr = r.Addr
+		l.journal.changeGroup(m.group)
 	}
 	if m.tookOver.IsZero() && r.Token >= l.token() {
 		m.tookOver = n.now
