Silent machines that hold replicas are returned once there is room for these

Ruled out: slow proof. On a dead machine nothing is lost either: without room its replicas can't start elsewhere.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -59,7 +60,8 @@
 type fleet struct {
 	budget    *bookkeeping.Budget
 	unmet     []demand
-	partly    bool // the last round ended early: unmet isn't all there is
+	held      map[*job]int // replicas that silent machines are kept for, until there is room
+	partly    bool         // the last round ended early: unmet isn't all there is
 	asked     bool
 	requests  uint64
 	blocked   map[string]time.Time // offers without capacity
@@ -352,6 +354,21 @@
 			zones[o.zone]++
 		}
 	}
+	// Room for replicas whose machines are silent. They count under their teams' limits
+	// already.
+	for _, j := range l.order {
+		for left := f.held[j]; left > 0 && total < rentAtOnce; left-- {
+			if slices.ContainsFunc(bins, func(b *bin) bool { return b.take(j) }) {
+				continue
+			}
+			o, ok := bestOffer(offers, j.Job, left, func(string) bool { return true })
+			if !ok {
+				break
+			}
+			rent(o).take(j)
+			total++
+		}
+	}
 	l.growHeadroom(bins, offers, rent)
 	// What many calls take is asked for at once, but some are left for returns: those
 	// are the quick proof that silent machines are gone.
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -138,6 +138,7 @@
 		n.resign("most machines are out of reach", 3*time.Second)
 		return
 	}
+	h := l.newHolds()
 	for _, m := range silent {
 		if n.now.After(l.silentProof(m)) {
 			for _, a := range m.sorted() {
@@ -146,9 +147,15 @@
 		}
 		quiet := n.now.Sub(latest(m.heard, m.reached, l.deaf, l.elected))
 		if !zones[m.zone].cut() || quiet > n.cfg.WorkerLease {
-			l.release(m, whySilent)
+			if m.releasing || !h.keep(m, quiet) {
+				l.release(m, whySilent)
+			}
 		}
 	}
+	l.fleet.held = h.jobs
+	if len(h.jobs) > 0 {
+		l.fleetSoon()
+	}
 }
 
 func latest(times ...time.Time) time.Time {
