A leader that never hears its workers gives way before it gives them up

Cause (own storm at 1,583 machines): a leader that lost its workers handed over, and ten seconds later the next one handed the lead back to it for its zone. It heard nobody, so nothing counted as lost, and at the end of a lease it returned 1,113 machines that the others reached. Nodes now say that they reached too few, stand behind others for a minute and aren't handed to; one that hears less than a third of the machines that ran tasks gives way once, unless all others did.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -20,6 +20,7 @@
 	standing      bool
 	planned       *timer
 	notBefore     time.Time   // after stepping down by choice
+	unfitUntil    time.Time   // it led and reached too few machines
 	generation    int         // of the watch; an older one's news is dropped
 	changes       []time.Time // of the leadership, lately
 }
@@ -135,6 +136,9 @@
 	if e.prefer != "" && e.prefer != n.cfg.Zone {
 		wait += 700 * time.Millisecond
 	}
+	if n.unfit() {
+		wait += unfitWait // others first
+	}
 	if d := e.notBefore.Sub(n.now); d > wait {
 		wait = d
 	}
@@ -146,6 +150,37 @@
 	})
 }
 
+// A node that led and reached too few machines stands behind the others for a while,
+// and no leader hands over to it. One that was cut off from its workers had been handed
+// the lead again, for its zone, and gave up a whole fleet that another node reached.
+const (
+	unfitTime = time.Minute
+	unfitWait = 2 * time.Second
+)
+
+func (n *Node) unfit() bool { return n.now.Before(n.election.unfitUntil) }
+
+// resignUnfit hands over because of the machines that this node doesn't reach, unless it
+// did so lately, or all others did: then it makes no difference who leads.
+func (n *Node) resignUnfit(why string) bool {
+	if len(n.cfg.Peers) == 0 || n.unfit() {
+		return false
+	}
+	others := len(n.cfg.Peers)
+	for _, p := range n.peers {
+		if p.unfit && n.now.Sub(p.at) < 3*time.Second {
+			others--
+		}
+	}
+	if others == 0 {
+		return false
+	}
+	n.election.unfitUntil = n.now.Add(unfitTime)
+	n.publish()
+	n.resign(why, 3*time.Second)
+	return true
+}
+
 // changesCount is how long a change of leaders counts for the next one's lease.
 const changesCount = 15 * time.Second
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -198,7 +198,7 @@
 		}
 		for i := range n.cfg.Peers {
 			p := &n.cfg.Peers[i]
-			if v := n.peers[p.Name]; p.Zone == zone && v != nil && v.storeOK && n.now.Sub(v.at) < 2500*time.Millisecond {
+			if v := n.peers[p.Name]; p.Zone == zone && v != nil && v.storeOK && !v.unfit && n.now.Sub(v.at) < 2500*time.Millisecond {
 				n.resign("most machines are in zone "+zone, 3*time.Second)
 				return
 			}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -9,6 +9,7 @@
 type peerView struct {
 	at       time.Time
 	storeOK  bool
+	unfit    bool // it led lately and reached too few machines
 	progress map[string][2]int
 }
 
@@ -17,6 +18,7 @@
 type peerMessage struct {
 	Node     string            `json:"node"`
 	StoreOK  bool              `json:"storeOK"`
+	Unfit    bool              `json:"unfit,omitempty"`
 	Term     uint64            `json:"term,omitempty"` // of a leader
 	Progress map[string][2]int `json:"progress,omitempty"`
 }
@@ -27,7 +29,7 @@
 
 // publish tells the peers how this node is and, from a leader, how jobs go.
 func (n *Node) publish() {
-	m := peerMessage{Node: n.cfg.Name, StoreOK: !n.storeDown() && n.now.Sub(n.storeOK) < 5*time.Second}
+	m := peerMessage{Node: n.cfg.Name, Unfit: n.unfit(), StoreOK: !n.storeDown() && n.now.Sub(n.storeOK) < 5*time.Second}
 	if l := n.lead; l != nil {
 		m.Term = l.term
 		m.Progress = map[string][2]int{}
@@ -48,7 +50,7 @@
 	n.now = now
 	var m peerMessage
 	if json.Unmarshal(body, &m) == nil && m.Node != "" && m.Node != n.cfg.Name && n.isPeer(m.Node) {
-		n.peers[m.Node] = &peerView{at: now, storeOK: m.StoreOK, progress: m.Progress}
+		n.peers[m.Node] = &peerView{at: now, storeOK: m.StoreOK, unfit: m.Unfit, progress: m.Progress}
 		if n.lead != nil && m.Term > n.lead.term {
 			n.stepDown("a peer leads with a later term")
 		}
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -41,6 +41,10 @@
 func (l *lead) reachAfter() time.Duration { return 2*l.n.cfg.ReportInterval + time.Second }
 func (l *lead) deafAfter() time.Duration  { return 3*l.n.cfg.ReportInterval + 4*time.Second }
 
+// unheardAfter is when every live worker has found this leader: the longest interval
+// between reports, and a report or two that were lost on nodes that are gone.
+func (l *lead) unheardAfter() time.Duration { return l.n.cfg.ReportInterval*5/4 + 6*time.Second }
+
 const (
 	watchInterval = 250 * time.Millisecond
 	// Probes sent at a time: a part of the fleet, so that a new leader has asked all
@@ -82,8 +86,14 @@
 	}
 	var silent, ask []*machine
 	zones := map[string]*reach{}
-	lost, known := 0, 0
+	lost, known, inherited, heard := 0, 0, 0, 0
 	for _, m := range l.fleetList {
+		if m.inherited && (m.up || len(m.attempts) > 0) { // others may be booting yet
+			inherited++
+			if m.up {
+				heard++
+			}
+		}
 		since := m.heard
 		if !m.up {
 			if len(m.attempts) == 0 {
@@ -134,8 +144,12 @@
 	// machines for good handed over to one another without end. It comes before
 	// any release: a leader that an outage kept from seeing it in time returned
 	// its whole fleet.
-	if known > 2 && lost*2 > known && n.now.Sub(l.settled) > 2*time.Second && len(n.cfg.Peers) > 0 {
-		n.resign("most machines are out of reach", 3*time.Second)
+	if known > 2 && lost*2 > known && n.now.Sub(l.settled) > 2*time.Second && n.resignUnfit("most machines are out of reach") {
+		return
+	}
+	// Nor is it the one to lead if it never heard most of those that the leader before
+	// knew, while another node hasn't tried.
+	if inherited > 2 && heard*3 < inherited && n.now.Sub(l.loadedAt) > l.unheardAfter() && n.resignUnfit("few machines are heard") {
 		return
 	}
 	h := l.newHolds()
