--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -160,19 +160,21 @@
 
 func (n *Node) unfit() bool { return n.now.Before(n.election.unfitUntil) }
 
-// resignUnfit hands over because of the machines that this node doesn't reach, unless it
-// did so lately, or all others did: then it makes no difference who leads.
+// resignUnfit hands over because of the machines that this node doesn't reach, unless all
+// others did so lately: then it makes no difference who leads. One that did so itself
+// does it again only for another that is known to be fit.
 func (n *Node) resignUnfit(why string) bool {
-	if len(n.cfg.Peers) == 0 || n.unfit() {
-		return false
-	}
-	others := len(n.cfg.Peers)
+	fit, unfit := 0, 0
 	for _, p := range n.peers {
-		if p.unfit && n.now.Sub(p.at) < 3*time.Second {
-			others--
+		switch {
+		case n.now.Sub(p.at) >= 3*time.Second:
+		case p.unfit:
+			unfit++
+		case p.storeOK:
+			fit++
 		}
 	}
-	if others == 0 {
+	if unfit == len(n.cfg.Peers) || n.unfit() && fit == 0 {
 		return false
 	}
 	n.election.unfitUntil = n.now.Add(unfitTime)
