--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -185,7 +185,6 @@
 	if r := report(1, 12, 0); r.Status != 200 || !m.answered.After(answered) || m.seq != 13 {
 		t.Errorf("a report overtaken by a response: status %d, number %d", r.Status, m.seq)
 	}
-	answered = m.answered
 	if r := report(2, 14, 0); r.Status != 200 || m.session != 2 {
 		t.Errorf("the next session: status %d, session %d", r.Status, m.session)
 	}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -170,9 +170,7 @@
 
 // turn makes the search one for a job's tasks.
 func (s *search) turn(l *lead, j *job) {
-	for _, o := range s.aside {
-		s.options = append(s.options, o)
-	}
+	s.options = append(s.options, s.aside...)
 	s.aside = s.aside[:0]
 	switch {
 	case !s.begun:
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -87,7 +87,6 @@
 	wakeAt time.Time
 	reqID  uint64
 	open   map[uint64]func(status int, body []byte)
-	views  map[string][]byte
 }
 
 // link is a direction between two hosts; cut is what happens on it.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -35,7 +35,6 @@
 	ttl    time.Duration
 	expiry *event
 	keys   map[string]bool
-	left   time.Duration
 }
 
 type watch struct {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -64,7 +64,6 @@
 	handler Handler
 	log     *slog.Logger
 	eng     gnet.Engine
-	once    sync.Once
 	start   sync.Mutex
 	el      gnet.EventLoop
 
