--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,13 +21,26 @@
 	Addr string
 }
 
-// Team has a guarantee and a limit.
+// Team has a guarantee and a limit. A team without a limit, as guests are, has
+// NoLimit for it.
 type Team struct {
 	Name             string
 	CPUs, GPUs       float64 // guaranteed
 	CPUsMax, GPUsMax float64 // never exceeded
 }
 
+// NoLimit is the limit of a team that has none: more than any fleet holds, and
+// finite, so that it can be counted with.
+const NoLimit = 1e9
+
+// limit reads a maximum, of which 0 means none.
+func limit(most float64) float64 {
+	if most == 0 {
+		return NoLimit
+	}
+	return most
+}
+
 // Objective restates an aim of the users.
 type Objective struct {
 	Kind   string
@@ -177,6 +190,7 @@
 				return nil, fmt.Errorf("settings: team %q has an impossible amount", t.Name)
 			}
 		}
+		t.CPUsMax, t.GPUsMax = limit(t.CPUsMax), limit(t.GPUsMax)
 		if t.CPUsMax < t.CPUs || t.GPUsMax < t.GPUs {
 			return nil, fmt.Errorf("settings: team %q has a maximum below its guarantee", t.Name)
 		}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -57,6 +57,13 @@
 		s.Objectives[0].Within != 3*time.Second || s.MemoryBytes != 98<<20 {
 		t.Errorf("got %+v", s)
 	}
+	if s.Teams[0].CPUsMax != 2 || s.Teams[0].GPUsMax != NoLimit {
+		t.Errorf("limits: got %+v", s.Teams)
+	}
+	guest, err := Parse([]byte(strings.Replace(good, "cpus = 1.0\ncpus_max = 2.0", "cpus = 0.0\ncpus_max = 0.0", 1)))
+	if err != nil || guest.Teams[0].CPUs != 0 || guest.Teams[0].CPUsMax != NoLimit {
+		t.Errorf("a team without guarantee and limit: %+v, %v", guest, err)
+	}
 	for _, c := range []struct{ from, to, want string }{
 		{`public_addr = "10.0.0.1:8080"`, ``, "public_addr is missing"},
 		{`public_addr = "10.0.0.1:8080"`, `public_addr = "here"`, "not an address"},
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -126,6 +126,9 @@
 func (n *Node) Start(now time.Time) Effects {
 	n.now = now
 	n.storeOK = now
+	for _, t := range n.cfg.Teams {
+		n.log.Info("team", "team", t.Name, "guaranteed", t.CPUs, "limited", t.CPUsMax < config.NoLimit, "most", t.CPUsMax)
+	}
 	n.startElection()
 	n.loadTypes()
 	n.every(time.Second, n.publish)
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -68,7 +68,7 @@
 	count := 0
 	submit := func() {
 		count++
-		spec := protocol.Job{ID: fmt.Sprintf("run-%06d", count), Class: []string{"one", "two"}[rng.IntN(2)], Team: []string{"red", "blue"}[rng.IntN(2)],
+		spec := protocol.Job{ID: fmt.Sprintf("run-%06d", count), Class: []string{"one", "two"}[rng.IntN(2)], Team: []string{"red", "blue", "guest"}[rng.IntN(3)],
 			Kind: protocol.Batch, Priority: protocol.Priority(1 + rng.IntN(4)), Tasks: (1 + rng.IntN(9)) * scale, CPUs: float64(1 + rng.IntN(2)),
 			MemGB: 2, Image: fmt.Sprintf("img-%d", rng.IntN(4)), ImageGB: 0.5 + rng.Float64(), Spot: rng.IntN(2) == 0,
 			Spread: rng.IntN(5) == 0 && len(zones) > 1, OneZone: rng.IntN(5) == 0}
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -128,6 +128,7 @@
 		Teams: []config.Team{
 			{Name: "red", CPUs: 16, CPUsMax: 64},
 			{Name: "blue", CPUs: 16, CPUsMax: 32},
+			{Name: "guest", CPUsMax: config.NoLimit, GPUsMax: config.NoLimit},
 		},
 		Objectives:     []config.Objective{{Kind: "guarantee", Within: 5 * time.Second, Share: 0.9}},
 		ReportInterval: 2 * time.Second, WorkerLease: 15 * time.Second, CancelWithin: 40 * time.Second,
@@ -137,7 +138,7 @@
 	}
 	if o.Fleet {
 		s := &c.settings
-		for i := range s.Teams {
+		for i := range s.Teams[:2] {
 			s.Teams[i].CPUs, s.Teams[i].CPUsMax = 2000, 6000
 		}
 		s.ReportInterval, s.WorkerLease, s.CancelWithin = 4*time.Second, 28*time.Second, 48*time.Second
