--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"brasskeel/internal/bookkeeping"
@@ -13,8 +14,20 @@
 	maxFinals  = 50_000
 	maxKnown   = 50_000
 	maxWaiting = 400 // requests that wait for the state service
+	maxNews    = 5_000
 )
 
+// checksShare is the part of the state service's requests that one node's checks of
+// polls take at the most, as a divisor. A check serves dozens of polls, and when users
+// ask ever more often, more share one: with a check as soon as the last one was over,
+// those of three nodes alone took more than the service allows, and submissions were
+// refused for it.
+const checksShare = 12
+
+func (n *Node) checkPause() time.Duration {
+	return max(10*time.Millisecond, time.Duration(checksShare/n.cfg.StateRPS*float64(time.Second)))
+}
+
 // admission serves users. It works the same on every node: jobs and their
 // final states are written to the state service before the user is told, and
 // the leader learns of them from there.
@@ -22,8 +35,27 @@
 	finals  map[string]final    // told or read; can't change any more
 	known   map[string]struct{} // accepted jobs
 	polls   []poll              // wait for the next check
+	checked time.Time           // when the last check was sent
 	inCheck bool
+	news    []toldFinal // final states that peers are to be told
 	waiting int
+
+	submissions []*submission // wait for the next transaction
+	inSubmit    bool
+}
+
+// toldFinal is a final state on its way to the peers.
+type toldFinal struct {
+	job   string
+	final final
+	times int // it was told
+}
+
+// submission is a job whose record is to be written, and who asked for it.
+type submission struct {
+	job    *protocol.Job
+	record json.RawMessage
+	ids    []uint64
 }
 
 // final is a job's final state and the number of its tasks that were done.
@@ -55,6 +87,15 @@
 	delete(a.known, job)
 }
 
+// noteFinal is setFinal for what this node wrote or learned as a leader: its peers
+// hear of it, so that they need not read it for each user who asks them.
+func (a *admission) noteFinal(job string, s protocol.JobState, done int) {
+	if _, ok := a.finals[job]; !ok && len(a.news) < maxNews {
+		a.news = append(a.news, toldFinal{job: job, final: final{s, done}})
+	}
+	a.setFinal(job, s, done)
+}
+
 func (a *admission) setKnown(job string) {
 	if len(a.known) >= maxKnown {
 		clear(a.known)
@@ -159,36 +200,101 @@
 		n.reply(id, 400, protocol.ErrorAnswer("the job's description is too long"))
 		return
 	}
-	// The job exists once this is applied, and only then is the user told. The
-	// outcome's absence keeps a late copy from reviving a job that is over and
-	// whose record is already gone.
-	n.storeTxn(&protocol.Txn{
-		If:   []protocol.Condition{{Key: bookkeeping.KeyActive(job.ID)}, {Key: bookkeeping.KeyOutcome(job.ID)}},
-		Then: []protocol.Op{{Put: bookkeeping.KeyActive(job.ID), Value: raw}},
-	}, func(r txnResult, _ uint64, _ []string) {
-		n.admission.waiting--
-		switch r {
-		case txnApplied:
-			n.admission.setKnown(job.ID)
-			n.log.Debug("job accepted", "job", job.ID, "class", job.Class, "tasks", job.Tasks,
-				"estimate", job.Estimate, "deadline", job.Deadline, "image", job.Image, "gb", job.ImageGB)
-			n.reply(id, 201, protocol.JobAnswer(job.ID, protocol.Queued))
-		case txnFailed:
-			n.admission.waiting++
-			n.lookup(job.ID, func(s protocol.JobState, ok bool) {
-				n.admission.waiting--
-				if !ok || s == 0 {
-					n.refuseWithoutStore(id)
-					return
+	for _, s := range n.admission.submissions {
+		if s.job.ID == job.ID {
+			s.ids = append(s.ids, id)
+			return
+		}
+	}
+	n.admission.submissions = append(n.admission.submissions, &submission{job, raw, []uint64{id}})
+	n.writeSubmissions()
+}
+
+// writeSubmissions writes the records of the jobs that came while the last transaction
+// was under way. Half a transaction at the most: all of it is refused at once when the
+// state service has too little left.
+func (n *Node) writeSubmissions() {
+	a := &n.admission
+	if a.inSubmit || len(a.submissions) == 0 {
+		return
+	}
+	a.inSubmit = true
+	t := &protocol.Txn{}
+	count, size := 0, 0
+	for _, s := range a.submissions {
+		if count == max(1, n.cfg.TxnOps/2) || count > 0 && size+len(s.record) > 32<<10 {
+			break
+		}
+		// The job exists once this is applied, and only then is the user told. The
+		// outcome's absence keeps a late copy from reviving a job that is over and
+		// whose record is already gone.
+		t.If = append(t.If, protocol.Condition{Key: bookkeeping.KeyActive(s.job.ID)}, protocol.Condition{Key: bookkeeping.KeyOutcome(s.job.ID)})
+		t.Then = append(t.Then, protocol.Op{Put: bookkeeping.KeyActive(s.job.ID), Value: s.record})
+		count, size = count+1, size+len(s.record)
+	}
+	group := a.submissions[:count:count]
+	a.submissions = append([]*submission(nil), a.submissions[count:]...)
+	n.storeTxn(t, func(r txnResult, _ uint64, failed []string) {
+		a.inSubmit = false
+		var again []*submission
+		for _, s := range group {
+			switch {
+			case r == txnApplied:
+				n.accepted(s)
+			case r == txnFailed && (slices.Contains(failed, bookkeeping.KeyActive(s.job.ID)) || slices.Contains(failed, bookkeeping.KeyOutcome(s.job.ID))):
+				n.knownAlready(s)
+			case r == txnFailed && len(failed) > 0:
+				again = append(again, s) // another of the group was known already
+			default:
+				a.waiting -= len(s.ids)
+				for _, id := range s.ids {
+					if r == txnRefused && !n.storeDown() {
+						n.refuseForNow(id) // too much at once
+					} else {
+						n.refuseWithoutStore(id)
+					}
 				}
-				n.reply(id, 200, protocol.JobAnswer(job.ID, s))
-			})
-		default:
-			n.refuseWithoutStore(id)
+			}
+		}
+		a.submissions = append(again, a.submissions...)
+		n.writeSubmissions()
+	})
+}
+
+func (n *Node) accepted(s *submission) {
+	n.admission.waiting -= len(s.ids)
+	n.admission.setKnown(s.job.ID)
+	n.log.Debug("job accepted", "job", s.job.ID, "class", s.job.Class, "tasks", s.job.Tasks,
+		"estimate", s.job.Estimate, "deadline", s.job.Deadline, "image", s.job.Image, "gb", s.job.ImageGB)
+	for i, id := range s.ids {
+		status := 201
+		if i > 0 {
+			status = 200
+		}
+		n.reply(id, status, protocol.JobAnswer(s.job.ID, protocol.Queued))
+	}
+}
+
+func (n *Node) knownAlready(s *submission) {
+	n.lookup(s.job.ID, func(state protocol.JobState, ok bool) {
+		n.admission.waiting -= len(s.ids)
+		for _, id := range s.ids {
+			if !ok || state == 0 {
+				n.refuseWithoutStore(id)
+				continue
+			}
+			n.reply(id, 200, protocol.JobAnswer(s.job.ID, state))
 		}
 	})
 }
 
+// refuseForNow sends a user away whose request is one too many at the moment. Not all
+// are told to come back at the same time.
+func (n *Node) refuseForNow(id uint64) {
+	n.out.Replies = append(n.out.Replies, Reply{ID: id, Status: 503, RetryAfter: 1 + n.rng.IntN(3),
+		Body: protocol.ErrorAnswer("too much at once")})
+}
+
 // neverRuns tells why a job can't ever run; empty when it can.
 func (n *Node) neverRuns(j *protocol.Job) string {
 	team := n.teams[j.Team]
@@ -267,22 +373,8 @@
 		return
 	}
 	n.admission.waiting++
-	if _, ok := n.admission.known[job]; ok {
-		n.admission.polls = append(n.admission.polls, poll{id, job})
-		n.checkPolls()
-		return
-	}
-	n.lookup(job, func(s protocol.JobState, ok bool) {
-		n.admission.waiting--
-		switch {
-		case !ok:
-			n.refuseWithoutStore(id)
-		case s == 0:
-			n.reply(id, 404, protocol.ErrorAnswer("no such job"))
-		default:
-			n.answerPoll(id, job)
-		}
-	})
+	n.admission.polls = append(n.admission.polls, poll{id, job})
+	n.checkPolls()
 }
 
 func (n *Node) answerPoll(id uint64, job string) {
@@ -293,50 +385,92 @@
 	n.reply(id, 200, protocol.JobStatus(job, s, done, running))
 }
 
-// checkPolls asks for the absence of many outcomes with one transaction that
-// only compares.
+// checkPolls learns of many jobs with one transaction that only compares: whether each
+// has an outcome, and of those this node hasn't heard of, whether they exist. Both are
+// told as of the same moment.
 func (n *Node) checkPolls() {
 	a := &n.admission
 	if a.inCheck || len(a.polls) == 0 {
 		return
 	}
 	a.inCheck = true
-	batch := a.polls[:min(len(a.polls), 4*n.cfg.TxnOps)]
-	a.polls = append([]poll(nil), a.polls[len(batch):]...)
+	if wait := a.checked.Add(n.checkPause()).Sub(n.now); wait > 0 {
+		n.after(wait, func() { a.inCheck = false; n.checkPolls() })
+		return
+	}
+	a.checked = n.now
 	t := &protocol.Txn{}
-	listed := map[string]bool{}
-	for _, p := range batch {
+	listed, unsure := map[string]bool{}, map[string]bool{}
+	count := 0
+	for _, p := range a.polls {
 		if !listed[p.job] {
+			if len(t.If)+2 > 4*n.cfg.TxnOps {
+				break
+			}
 			listed[p.job] = true
 			t.If = append(t.If, protocol.Condition{Key: bookkeeping.KeyOutcome(p.job)})
+			if _, ok := a.known[p.job]; !ok {
+				unsure[p.job] = true
+				t.If = append(t.If, protocol.Condition{Key: bookkeeping.KeyActive(p.job)})
+			}
 		}
+		count++
 	}
+	batch := a.polls[:count:count]
+	a.polls = append([]poll(nil), a.polls[count:]...)
 	n.storeTxn(t, func(r txnResult, _ uint64, failed []string) {
+		a.inCheck = false
 		a.waiting -= len(batch)
-		over := map[string]bool{}
+		exists := map[string]bool{}
 		for _, key := range failed {
-			over[key] = true
+			exists[key] = true
 		}
+		reads := map[string][]uint64{}
 		for _, p := range batch {
+			_, final := a.finals[p.job]
 			switch {
+			case r == txnRefused && !n.storeDown():
+				n.refuseForNow(p.id)
 			case r != txnApplied && r != txnFailed:
 				n.refuseWithoutStore(p.id)
-			case over[bookkeeping.KeyOutcome(p.job)]:
-				a.waiting++
-				n.lookup(p.job, func(s protocol.JobState, ok bool) {
-					a.waiting--
-					if !ok || s == 0 {
-						n.refuseWithoutStore(p.id)
-						return
-					}
-					n.answerPoll(p.id, p.job)
-				})
+			case final:
+				n.answerPoll(p.id, p.job)
+			case exists[bookkeeping.KeyOutcome(p.job)]:
+				reads[p.job] = append(reads[p.job], p.id)
+			case unsure[p.job] && !exists[bookkeeping.KeyActive(p.job)]:
+				n.reply(p.id, 404, protocol.ErrorAnswer("no such job"))
 			default:
+				a.setKnown(p.job)
 				n.answerPoll(p.id, p.job)
 			}
 		}
-		// A short pause collects the next ones.
-		n.after(10*time.Millisecond, func() { a.inCheck = false; n.checkPolls() })
+		for _, p := range batch {
+			if ids := reads[p.job]; ids != nil {
+				delete(reads, p.job)
+				n.readFinal(p.job, ids)
+			}
+		}
+		n.checkPolls()
+	})
+}
+
+// readFinal answers the polls for a job that is known to be over.
+func (n *Node) readFinal(job string, ids []uint64) {
+	n.admission.waiting += len(ids)
+	n.storeGet(bookkeeping.KeyOutcome(job), func(it protocol.Item, found, ok bool) {
+		n.admission.waiting -= len(ids)
+		if found {
+			if s, done, err := bookkeeping.DecodeOutcome(it.Value); err == nil {
+				n.admission.setFinal(job, s, done)
+			}
+		}
+		for _, id := range ids {
+			if _, ok := n.admission.finals[job]; ok {
+				n.answerPoll(id, job)
+			} else {
+				n.refuseForNow(id)
+			}
+		}
 	})
 }
 
@@ -384,7 +518,7 @@
 		}, func(r txnResult, _ uint64, _ []string) {
 			switch r {
 			case txnApplied:
-				n.admission.setFinal(job, protocol.Cancelled, done)
+				n.admission.noteFinal(job, protocol.Cancelled, done)
 				finish(protocol.Cancelled, true)
 			case txnFailed, txnUnknown:
 				n.lookup(job, finish)
--- a/internal/coordination/journal.go
+++ b/internal/coordination/journal.go
@@ -305,7 +305,7 @@
 			l.groupWritten(k)
 		}
 		for _, j := range b.ends {
-			n.admission.setFinal(j.ID, protocol.Done, j.Tasks)
+			n.admission.noteFinal(j.ID, protocol.Done, j.Tasks)
 			l.jobOver(j, protocol.Done)
 		}
 		for _, key := range b.removes {
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -151,7 +151,7 @@
 			l.n.log.Error("unreadable outcome", "job", id, "err", err)
 			return
 		}
-		l.n.admission.setFinal(id, s, done)
+		l.n.admission.setFinal(id, s, done) // who wrote it told the peers
 		if j := l.jobs[id]; j != nil {
 			l.jobOver(j, s)
 		}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"time"
+
+	"brasskeel/internal/protocol"
 )
 
 // peerView is what a peer last told of itself.
@@ -14,18 +16,29 @@
 }
 
 // peerMessage is what controllers tell one another. None of it is needed for
-// the protocol's rules: those rest on the state service alone.
+// the protocol's rules: those rest on the state service alone. Final states are told
+// by who wrote them: they are created once and never overwritten, so they may be
+// passed on to users like one's own, however late they come.
 type peerMessage struct {
 	Node     string            `json:"node"`
 	StoreOK  bool              `json:"storeOK"`
 	Unfit    bool              `json:"unfit,omitempty"`
 	Term     uint64            `json:"term,omitempty"` // of a leader
 	Progress map[string][2]int `json:"progress,omitempty"`
+	Done     map[string]int    `json:"done,omitempty"`      // jobs, and their tasks done
+	Ended    map[string]int    `json:"cancelled,omitempty"` // the same of cancelled ones
 }
 
+// finalsTold is how often a final state is told, since a line may be lost, and
+// maxFinalsTold how many are in one message.
+const (
+	finalsTold    = 2
+	maxFinalsTold = 500
+)
+
 // maxProgress bounds how many jobs' progress one message carries, so that it fits the
 // line of 64 KiB that a peer takes. Users of the jobs beyond see no counts.
-const maxProgress = 1500
+const maxProgress = 1200
 
 // publish tells the peers how this node is and, from a leader, how jobs go.
 func (n *Node) publish() {
@@ -39,6 +52,22 @@
 			}
 		}
 	}
+	m.Done, m.Ended = map[string]int{}, map[string]int{}
+	a := &n.admission
+	told := a.news[:min(len(a.news), maxFinalsTold)]
+	var again []toldFinal
+	for _, f := range told {
+		if f.final.state == protocol.Done {
+			m.Done[f.job] = f.final.done
+		} else {
+			m.Ended[f.job] = f.final.done
+		}
+		if f.times++; f.times < finalsTold {
+			again = append(again, f)
+		}
+	}
+	a.news = append(a.news[:0:0], a.news[len(told):]...)
+	a.news = append(a.news, again...)
 	raw, err := json.Marshal(m)
 	if err == nil {
 		n.out.Publishes = append(n.out.Publishes, Publish{Body: raw})
@@ -51,6 +80,12 @@
 	var m peerMessage
 	if json.Unmarshal(body, &m) == nil && m.Node != "" && m.Node != n.cfg.Name && n.isPeer(m.Node) {
 		n.peers[m.Node] = &peerView{at: now, storeOK: m.StoreOK, unfit: m.Unfit, progress: m.Progress}
+		for job, done := range m.Done {
+			n.admission.setFinal(job, protocol.Done, done)
+		}
+		for job, done := range m.Ended {
+			n.admission.setFinal(job, protocol.Cancelled, done)
+		}
 		if n.lead != nil && m.Term > n.lead.term {
 			n.stepDown("a peer leads with a later term")
 		}
