--- a/internal/coordination/attempts.go
+++ b/internal/coordination/attempts.go
@@ -103,7 +103,7 @@
 		a.job.running--
 	}
 	if s == protocol.Running {
-		a.job.running++
+		l.runs(a.job)
 		if !a.inherited {
 			l.n.log.Debug("task runs", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name,
 				"within", a.job.within, "placed", l.n.now.Sub(a.placed), "age", l.n.now.Round(0).Sub(a.job.submitted))
@@ -120,7 +120,7 @@
 	}
 	t.done = true
 	j.doneCount++
-	j.errors = 0
+	j.errors, j.trials = 0, 0
 	if t.live != nil {
 		l.stopAttempt(t.live, 0)
 	} else if k := slices.Index(j.waiting, i); k >= 0 {
--- /dev/null
+++ b/internal/coordination/boots.go
@@ -0,0 +1,100 @@
+package coordination
+
+import "time"
+
+// Machines that boot late, or never. A machine overdue is replaced and in the end
+// returned. Where most are overdue at once the cloud is slow, and replacements would be
+// as late: then only some are replaced, to see whether new ones come sooner, and none
+// is given up before several times as long.
+
+const (
+	bootLate       = 2 // times the usual boot time, after which another is rented
+	bootLateMargin = 2 * time.Second
+	bootPatience   = 4 // times after which it is given up, but not before this margin
+	bootPatienceAt = 20 * time.Second
+	slowPatience   = 10 // times, while the cloud is slow
+	slowAtLeast    = 3  // machines overdue, to call it so
+	slowReplaced   = 4  // part of them that is replaced, as a divisor
+)
+
+// boots is how the machines do that were rented lately.
+type boots struct {
+	late []*machine // not up, and overdue
+	came int        // up
+	next *machine   // the one that boots for longest
+}
+
+func (m *machine) booting() bool {
+	return !m.up && !m.draining && !m.releasing && m.spec != nil
+}
+
+func (l *lead) lateBoot(m *machine) bool {
+	return l.n.now.Sub(m.rented) >= m.spec.Boot*bootLate+bootLateMargin
+}
+
+func (l *lead) boots() boots {
+	var b boots
+	for _, m := range l.fleetList {
+		switch {
+		case m.booting():
+			if b.next == nil || m.rented.Before(b.next.rented) {
+				b.next = m
+			}
+			if l.lateBoot(m) {
+				b.late = append(b.late, m)
+			}
+		case m.up && m.spec != nil && l.n.now.Sub(m.rented) < max(m.spec.Boot*bootPatience, m.spec.Boot+bootPatienceAt):
+			b.came++
+		}
+	}
+	return b
+}
+
+// slow reports whether boots are late in general.
+func (b *boots) slow() bool { return len(b.late) >= slowAtLeast && len(b.late) > b.came }
+
+// replaced is the number of machines overdue that others are rented for.
+func (b *boots) replaced() int {
+	if b.slow() {
+		return max(1, len(b.late)/slowReplaced)
+	}
+	return len(b.late)
+}
+
+// coming lists the room of machines that boot, leaving out those that are replaced:
+// some never come up, and work doesn't wait for them.
+func (l *lead) coming() []*bin {
+	b := l.boots()
+	without := b.replaced()
+	var bins []*bin
+	for _, m := range l.fleetList {
+		if !m.booting() {
+			continue
+		}
+		if without > 0 && l.lateBoot(m) {
+			without--
+			continue
+		}
+		bins = append(bins, newBin(offer{m.spec, m.zone, m.spot}))
+	}
+	return bins
+}
+
+// endBoots gives up machines that don't come up, at once those that nothing waits for.
+func (l *lead) endBoots() {
+	b := l.boots()
+	idle := len(l.fleet.unmet) == 0 && len(l.fleet.held) == 0 && !l.fleet.partly
+	for _, m := range b.late {
+		patience := max(m.spec.Boot*bootPatience, m.spec.Boot+bootPatienceAt)
+		if b.slow() {
+			patience = m.spec.Boot * slowPatience
+		}
+		switch age := l.n.now.Sub(m.rented); {
+		case len(m.attempts) > 0: // it was up for an earlier leader
+		case age > patience:
+			l.release(m, "never came up")
+		case idle && age > minimumCharge:
+			l.release(m, "late, and not needed any more")
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/faults.go
@@ -0,0 +1,104 @@
+package coordination
+
+import (
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// Jobs are submitted with a mistake and fail on every machine; machines turn faulty and
+// fail every job. What tells them apart is a job that is known to work: one of which a
+// task was done, or runs. Counting jobs alone, two with a mistake that met on a machine
+// cost it, and each new leader returned some.
+
+const (
+	// provenAfter is how long tasks of a job must run, and none break off, for the job
+	// to be taken for one that works.
+	provenAfter = 3 * time.Second
+	// Failures without a success in between, and machines that saw them, that make a
+	// job suspect.
+	suspectErrors   = 4
+	suspectMachines = 3
+	// A suspect job is tried with one task at a time, after pauses that double.
+	trialPause    = 500 * time.Millisecond
+	trialPauseMax = 30 * time.Second
+	// failedPause is the pause after failures of a job that works.
+	failedPause = 250 * time.Millisecond
+)
+
+// proven reports whether a job is known to work on some machine.
+func (j *job) proven(now time.Time) bool {
+	return j.doneCount > 0 || !j.brokeOff && j.running > 0 && now.Sub(j.runsSince) >= provenAfter
+}
+
+// suspect reports whether a job seems to fail everywhere. All of its tasks at once,
+// again and again, cost records, fetches and its team's room until its user cancels it.
+func (l *lead) suspect(j *job) bool {
+	return j.errors >= suspectErrors && len(j.failedOn) >= min(suspectMachines, len(l.fleetList)) && !j.proven(l.n.now)
+}
+
+// trial bounds how many tasks of a suspect job may be placed.
+func (l *lead) trial(j *job, most int) int {
+	if j.Kind == protocol.Gang || !l.suspect(j) {
+		return most
+	}
+	return min(most, max(0, 1-j.live))
+}
+
+// failed notes an attempt that ended in an error.
+func (l *lead) failed(m *machine, a *attempt) {
+	j, n := a.job, l.n
+	before := l.suspect(j)
+	j.errors++
+	j.failedOn[m.name] = struct{}{}
+	j.brokeOff = j.brokeOff || a.state == protocol.Running
+	m.failures[j.ID]++
+	n.log.Debug("task failed", "job", j.ID, "task", a.task, "machine", m.name, "failures", j.errors)
+	pause := time.Duration(0)
+	switch {
+	case l.suspect(j):
+		if !before {
+			n.log.Warn("job keeps failing", "job", j.ID, "class", j.Class, "team", j.Team, "failures", j.errors, "machines", len(j.failedOn))
+		} else if j.live <= 1 {
+			j.trials++
+		}
+		pause = min(trialPauseMax, trialPause<<min(j.trials, 8))
+	case len(j.failedOn) >= suspectMachines:
+		pause = failedPause
+	}
+	if until := n.now.Add(pause); until.After(j.notBefore) {
+		j.notBefore = until
+		n.after(pause+10*time.Millisecond, l.askPlaceAlive)
+	}
+	l.judge(m, j)
+}
+
+// judge decides whether a machine on which a task just failed is faulty: two jobs that
+// work failed on it since the last success there, or one did twice and hardly elsewhere.
+func (l *lead) judge(m *machine, j *job) {
+	if m.sick {
+		return
+	}
+	good := 0
+	for id := range m.failures {
+		if k := l.jobs[id]; k != nil && k.proven(l.n.now) {
+			good++
+		}
+	}
+	if good >= 2 || good == 1 && j.proven(l.n.now) && m.failures[j.ID] >= 2 && len(j.failedOn) < suspectMachines {
+		m.sick = true
+		l.n.log.Warn("machine fails its tasks", "machine", m.name, "jobs", len(m.failures))
+		l.drain(m)
+	}
+}
+
+// runs notes that a task of a job runs.
+func (l *lead) runs(j *job) {
+	j.running++
+	if j.running == 1 {
+		j.runsSince = l.n.now
+		if l.suspect(j) { // a trial that may succeed
+			l.n.after(provenAfter+10*time.Millisecond, l.askPlaceAlive)
+		}
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -12,14 +12,12 @@
 
 // Times of the fleet's dealings with the cloud.
 const (
-	cloudTimeout   = 4 * time.Second
-	capacityPause  = 15 * time.Second // after "no capacity"
-	typesInterval  = 45 * time.Second
-	minimumCharge  = 60 * time.Second
-	releaseRetry   = time.Second
-	bootPatience   = 4 // times the usual boot time
-	bootPatienceAt = 20 * time.Second
-	movePause      = 10 * time.Second
+	cloudTimeout  = 4 * time.Second
+	capacityPause = 15 * time.Second // after "no capacity"
+	typesInterval = 45 * time.Second
+	minimumCharge = 60 * time.Second
+	releaseRetry  = time.Second
+	movePause     = 10 * time.Second
 )
 
 // rentAtOnce bounds how many machines one turn asks for: its answers show what is
@@ -262,21 +260,6 @@
 	return &bin{offer: o, cpus: o.spec.CPUs, gpus: o.spec.GPUs, mem: o.spec.MemGB}
 }
 
-// coming lists the room of machines that boot, leaving out those that are
-// overdue: some never come up.
-func (l *lead) coming() []*bin {
-	var bins []*bin
-	for _, m := range l.fleetList {
-		if m.up || m.draining || m.releasing || m.spec == nil {
-			continue
-		}
-		if l.n.now.Sub(m.rented) < m.spec.Boot*2+2*time.Second {
-			bins = append(bins, newBin(offer{m.spec, m.zone, m.spot}))
-		}
-	}
-	return bins
-}
-
 // grow rents what the waiting work and the headroom need beyond what boots.
 func (l *lead) grow() {
 	n, f := l.n, &l.fleet
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -89,8 +89,11 @@
 	next      int            // first task that was never started
 	zones     map[string]int // live attempts and their zones
 	judged    bool
-	within    bool // its team's guarantee when it came
-	errors    int  // since the last success
+	within    bool      // its team's guarantee when it came
+	errors    int       // since the last success
+	trials    int       // of them, single tasks tried since the job became suspect
+	brokeOff  bool      // a task failed after it had run
+	runsSince time.Time // when the first of the tasks that run began
 	failedOn  map[string]struct{}
 	notBefore time.Time
 	pressing  bool // its patience has a timer
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -422,38 +422,6 @@
 	return true
 }
 
-// failed notes an attempt that ended in an error, and tells a machine that
-// fails everything from a job that fails everywhere: the first fails several
-// jobs, the second fails on several machines.
-func (l *lead) failed(m *machine, a *attempt) {
-	j := a.job
-	j.errors++
-	j.failedOn[m.name] = struct{}{}
-	m.failures[j.ID]++
-	l.n.log.Info("task failed", "job", j.ID, "task", a.task, "machine", m.name, "failures", j.errors)
-	// A job that never succeeds is tried again, ever more slowly.
-	if len(j.failedOn) >= 3 && j.errors >= 4 {
-		wait := min(30*time.Second, 250*time.Millisecond<<min(j.errors-3, 8))
-		j.notBefore = l.n.now.Add(wait)
-		l.n.after(wait+10*time.Millisecond, func() {
-			if l.alive() {
-				l.askPlace()
-			}
-		})
-	}
-	good := 0
-	for id := range m.failures {
-		if k := l.jobs[id]; k != nil && len(k.failedOn) <= 2 {
-			good++
-		}
-	}
-	if !m.sick && (good >= 2 || good == 1 && j.doneCount > 0 && m.failures[j.ID] >= 2) {
-		m.sick = true
-		l.n.log.Warn("machine fails its tasks", "machine", m.name, "jobs", len(m.failures))
-		l.drain(m)
-	}
-}
-
 // machineGone ends a machine on proof: all that was on it is gone.
 func (l *lead) machineGone(m *machine, why string) {
 	if m.removed {
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -121,15 +121,15 @@
 	return list
 }
 
-// rank is a job's standing in the order of service.
+// rank is a job's standing in the order of service; 1 is that of jobs overdue.
 func (j *job) rank() int {
 	switch {
 	case j.Priority == protocol.Critical:
 		return 0
 	case j.within:
-		return 1
+		return 2
 	}
-	return 2
+	return 3
 }
 
 // overdueAfter is how long a job may wait for its first task before it goes ahead
@@ -144,7 +144,7 @@
 
 // turn is the job's rank, the wait for a first task considered.
 func (j *job) turn(wall time.Time) int {
-	if r := j.rank(); r < 2 || j.live > 0 || j.doneCount > 0 || wall.Sub(j.submitted) < overdueAfter {
+	if r := j.rank(); r < 3 || j.live > 0 || j.doneCount > 0 || wall.Sub(j.submitted) < overdueAfter {
 		return r
 	}
 	return 1
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -52,6 +52,7 @@
 		if left > 0 && n.now.Before(j.notBefore) {
 			continue
 		}
+		left = l.trial(j, left)
 		if left > 0 && l.zoneOpen(j) && l.presses(j) {
 			left = l.makeRoom(j, left)
 		}
@@ -177,6 +178,7 @@
 	if j.turn(l.n.now.Round(0)) < j.rank() {
 		most = min(most, (j.Tasks+9)/10) // it begins; the rest waits in its own turn
 	}
+	most = l.trial(j, most)
 	for placed := 0; placed < most && j.toStart() > held && !l.journal.full(); placed++ {
 		if !l.underLimit(j) {
 			l.makeLimitRoom(j)
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -16,9 +16,10 @@
 // placed then.
 func (l *lead) makeRoom(j *job, left int) int {
 	k := kindOf(j)
+	k.early = !l.patient(j)
 	s := l.searches[k]
 	if s == nil {
-		s = &search{}
+		s = &search{savers: k.early}
 		l.searches[k] = s
 	}
 	s.turn(l, j)
@@ -56,13 +57,11 @@
 // frees by itself before work of others is stopped for it: a part of the time
 // that users allow it. Tasks are short, so most of the room comes by itself,
 // and what is stopped has to run again.
-func (l *lead) patience() time.Duration {
-	for i := range l.n.cfg.Objectives {
-		if o := &l.n.cfg.Objectives[i]; o.Kind == "guarantee" && o.Within > 0 {
-			return o.Within * 2 / 5
-		}
-	}
-	return 2 * time.Second
+func (l *lead) patience() time.Duration { return l.guarantee() * 2 / 5 }
+
+// patient reports whether a job has waited for as long as its patience lasts.
+func (l *lead) patient(j *job) bool {
+	return j.Priority == protocol.Critical || !j.submitted.Add(l.patience()).After(l.n.now.Round(0))
 }
 
 // presses reports whether others may be stopped for a job now.
@@ -73,16 +72,45 @@
 	if !j.within {
 		return false
 	}
-	if wait := j.submitted.Add(l.patience()).Sub(l.n.now.Round(0)); wait > 0 {
+	if !l.patient(j) {
 		if !j.pressing {
 			j.pressing = true
-			l.n.after(wait+time.Millisecond, l.askPlaceAlive)
+			l.n.after(j.submitted.Add(l.patience()).Sub(l.n.now.Round(0))+time.Millisecond, l.askPlaceAlive)
 		}
-		return false
+		return l.quickSavers()
 	}
 	return true
 }
 
+// saveMargin is what it takes beyond saving to stop work and start other in its place.
+const saveMargin = time.Second
+
+// savesInTime reports whether work saves what it did, and ends soon enough for a job
+// within its team's guarantee, if it is stopped at once, though not once that job's
+// patience has ended. Little is lost with it.
+func (l *lead) savesInTime(a *attempt) bool {
+	g := l.guarantee()
+	return a.job.Checkpoint > 0 && a.state == protocol.Running && a.job.Save+saveMargin <= g && a.job.Save+saveMargin > g-l.patience()
+}
+
+// quickSavers reports whether there may be such work.
+func (l *lead) quickSavers() bool {
+	g := l.guarantee()
+	return slices.ContainsFunc(l.order, func(j *job) bool {
+		return j.live > 0 && j.Checkpoint > 0 && j.Save+saveMargin <= g && j.Save+saveMargin > g-l.patience()
+	})
+}
+
+// guarantee is the time in which users want work within a guarantee started.
+func (l *lead) guarantee() time.Duration {
+	for i := range l.n.cfg.Objectives {
+		if o := &l.n.cfg.Objectives[i]; o.Kind == "guarantee" && o.Within > 0 {
+			return o.Within
+		}
+	}
+	return 5 * time.Second
+}
+
 func (l *lead) askPlaceAlive() {
 	if l.alive() {
 		l.askPlace()
@@ -137,6 +165,7 @@
 type search struct {
 	begun   bool
 	holders bool // only machines that hold the image, and only work that ends at once
+	savers  bool // only work that saves in time
 	options []option
 	aside   []option // not for the job whose turn it is
 	failed  []option // without room for the smallest task so far
@@ -158,6 +187,7 @@
 	priority    protocol.Priority
 	rank        int
 	team        string // whose guarantee is asked for
+	early       bool   // before its patience has ended
 }
 
 func kindOf(j *job) kind {
@@ -191,7 +221,7 @@
 	s.least, s.leastGB = usage{j.CPUs, j.GPUs}, j.MemGB
 	failed := s.failed[:0]
 	for _, o := range s.failed {
-		cost, _, ok := l.roomFor(j, o.machine, s.holders)
+		cost, _, ok := l.roomFor(j, o.machine, s)
 		if !ok {
 			failed = append(failed, o)
 			continue
@@ -221,7 +251,7 @@
 			heap.Pop(s)
 			continue
 		}
-		cost, victims, ok := l.roomFor(j, o.machine, s.holders)
+		cost, victims, ok := l.roomFor(j, o.machine, s)
 		if !ok {
 			s.failed = append(s.failed, o)
 			heap.Pop(s)
@@ -238,7 +268,7 @@
 		if cost == 0 {
 			return true
 		}
-		if cost, _, ok := l.roomFor(j, o.machine, s.holders); ok {
+		if cost, _, ok := l.roomFor(j, o.machine, s); ok {
 			s.options[0].cost = cost
 			heap.Fix(s, 0)
 		} else {
@@ -253,7 +283,7 @@
 // roomFor reports whether stopping some work on a machine makes room for one task
 // of a job, what that would cost, and which work it is. The list is good until the
 // next call.
-func (l *lead) roomFor(j *job, m *machine, holders bool) (cost float64, victims []*attempt, ok bool) {
+func (l *lead) roomFor(j *job, m *machine, s *search) (cost float64, victims []*attempt, ok bool) {
 	l.work++
 	cpus := m.spec.CPUs - m.cpus + m.ending.cpus - m.promised.cpus
 	gpus := m.spec.GPUs - m.gpus + m.ending.gpus - m.promised.gpus
@@ -278,7 +308,7 @@
 	l.yielding = l.yielding[:0]
 	freed := usage{}
 	for _, a := range m.list {
-		if l.mayStop(a, j) && !(holders && l.saveGrace(a) > 0) {
+		if l.mayStop(a, j) && !(s.holders && l.saveGrace(a) > 0) && !(s.savers && !l.savesInTime(a)) {
 			l.yielding = append(l.yielding, a)
 			freed.cpus += a.job.CPUs
 		}
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -11,6 +11,7 @@
 // ones that never came up, and ones given up.
 func (l *lead) shrink() {
 	n := l.n
+	l.endBoots()
 	used, free, fixedRoom := 0.0, 0.0, 0.0
 	for _, m := range l.fleetList {
 		if m.spec != nil && m.up && !m.draining && !m.releasing {
@@ -30,8 +31,6 @@
 		}
 		age := n.now.Sub(m.rented)
 		switch {
-		case !m.up && m.spec != nil && len(m.attempts) == 0 && age > max(m.spec.Boot*bootPatience, m.spec.Boot+bootPatienceAt):
-			l.release(m, "never came up")
 		case m.draining && len(m.attempts) == 0:
 			l.release(m, "drained")
 		case m.spec == nil && m.up && len(m.attempts) == 0:
@@ -223,7 +222,7 @@
 	}
 	m.releasing = true
 	m.given = why == whySilent
-	l.n.log.Info("returning machine", "machine", m.name, "why", why, "attempts", len(m.attempts), "silent", l.n.now.Sub(m.heard))
+	l.n.log.Info("returning machine", "machine", m.name, "why", why, "attempts", len(m.attempts), "up", m.up, "quiet", l.n.now.Sub(latest(m.heard, m.rented)).Round(time.Millisecond))
 	l.sendReleases()
 }
 
