--- a/internal/coordination/attempts.go
+++ b/internal/coordination/attempts.go
@@ -153,7 +153,7 @@
 		return
 	}
 	j.outcome = s
-	l.n.log.Info("job over", "job", j.ID, "cancelled", s == protocol.Cancelled, "done", j.doneCount, "live", j.live)
+	l.n.log.Debug("job over", "job", j.ID, "cancelled", s == protocol.Cancelled, "done", j.doneCount, "live", j.live)
 	j.waiting = nil
 	j.next = j.Tasks
 	for _, c := range j.chunks {
--- a/internal/coordination/boots.go
+++ b/internal/coordination/boots.go
@@ -24,19 +24,26 @@
 	next *machine   // the one that boots for longest
 }
 
-func (m *machine) booting() bool {
-	return !m.up && !m.draining && !m.releasing && m.spec != nil
+func (l *lead) booting(m *machine) bool {
+	return !m.up && !m.draining && !m.releasing && m.spec != nil && !l.unheard(m)
 }
 
 func (l *lead) lateBoot(m *machine) bool {
 	return l.n.now.Sub(m.rented) >= m.spec.Boot*bootLate+bootLateMargin
 }
 
+// unheard reports whether a machine that should be up by now may have reported to an
+// earlier leader, and merely not to this one yet: new leaders returned such machines as
+// if they had never come up.
+func (l *lead) unheard(m *machine) bool {
+	return m.inherited && l.lateBoot(m) && l.n.now.Sub(l.loadedAt) < l.unheardAfter()
+}
+
 func (l *lead) boots() boots {
 	var b boots
 	for _, m := range l.fleetList {
 		switch {
-		case m.booting():
+		case l.booting(m):
 			if b.next == nil || m.rented.Before(b.next.rented) {
 				b.next = m
 			}
@@ -68,7 +75,7 @@
 	without := b.replaced()
 	var bins []*bin
 	for _, m := range l.fleetList {
-		if !m.booting() {
+		if !l.booting(m) {
 			continue
 		}
 		if without > 0 && l.lateBoot(m) {
--- /dev/null
+++ b/internal/coordination/explain.go
@@ -0,0 +1,177 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// What operators see, at level info, of work that waits and of a node that can't act:
+// logged when it changes, and from time to time while it lasts.
+
+const (
+	explainAfter  = 5 * time.Second  // a wait shorter than this is nothing to tell
+	explainChange = 5 * time.Second  // least time between lines that tell something new
+	explainAgain  = 30 * time.Second // and between lines that tell the same
+)
+
+// told remembers what was said, and when.
+type told struct {
+	what string
+	at   time.Time
+}
+
+// due reports whether something is to be said now.
+func (t *told) due(now time.Time, what string) bool {
+	since := now.Sub(t.at)
+	if what == t.what && since < explainAgain || what != t.what && since < explainChange {
+		return false
+	}
+	if what == "" && t.what == "" {
+		return false
+	}
+	t.what, t.at = what, now
+	return true
+}
+
+// explainNode tells of a node that knows no leader, follows another one, or can't reach
+// the state service.
+func (n *Node) explainNode() {
+	what := ""
+	switch {
+	case n.storeDown():
+		what = "the state service does not answer"
+	case n.lead != nil && n.lead.phase == loading && n.now.Sub(n.lead.elected) > explainAfter:
+		what = "records are being loaded"
+	case n.lead != nil && !n.lead.entitled():
+		what = "the leader lease has ended"
+	case n.lead == nil && n.leaderName() == "":
+		what = "no leader is known"
+	}
+	if what != n.trouble {
+		n.troubleSince = n.now
+	}
+	if what == "" {
+		if n.told.due(n.now, "") {
+			n.log.Info("in order again")
+		}
+		n.trouble = ""
+		return
+	}
+	n.trouble = what
+	if n.now.Sub(n.troubleSince) >= 2*time.Second && n.told.due(n.now, what) {
+		n.log.Warn("nothing can be placed or promised here", "why", what, "for", n.now.Sub(n.troubleSince).Round(time.Second))
+	}
+}
+
+// reason is why tasks wait for machines.
+type reason uint8
+
+const (
+	reasonRoom reason = iota // more will have room soon
+	reasonLimit
+	reasonFails
+	reasonZones
+	reasonRecords
+	reasonBoots
+	reasonCapacity
+	reasonPrice
+	reasonReports
+	reasons
+)
+
+func (r reason) String() string {
+	return [...]string{"room is being made", "the team's limit", "the job keeps failing", "its rules about zones", "records are behind",
+		"machines boot", "no capacity in the cloud", "only dear machines can be had", "machines are still to report"}[r]
+}
+
+// whyWaits tells why a job's tasks wait.
+func (l *lead) whyWaits(j *job, booting bool, open []offer) reason {
+	switch {
+	case l.phase != active:
+		return reasonReports
+	case l.suspect(j):
+		return reasonFails
+	case !l.underLimit(j):
+		return reasonLimit
+	case !l.placeable(j):
+		return reasonZones
+	case l.fleet.partly:
+		return reasonRecords
+	case booting:
+		return reasonBoots
+	}
+	any := false
+	for _, o := range open {
+		if o.allows(j.Job) && j.zoneAllows(o.zone) {
+			if !l.tooDear(j, o) {
+				return reasonRoom
+			}
+			any = true
+		}
+	}
+	if any {
+		return reasonPrice
+	}
+	return reasonCapacity
+}
+
+// explain tells why work waits.
+func (l *lead) explain() {
+	n := l.n
+	if n.now.Sub(l.told.at) < explainChange {
+		return
+	}
+	b := l.boots()
+	var open []offer
+	var jobs, tasks [reasons]int
+	var longest *job
+	for _, j := range l.order {
+		left := j.toStart()
+		if left == 0 || n.now.Round(0).Sub(j.submitted) < explainAfter {
+			continue
+		}
+		if open == nil {
+			open = l.offers()
+		}
+		r := l.whyWaits(j, b.next != nil, open)
+		jobs[r]++
+		tasks[r] += left
+		if j.live == 0 && j.doneCount == 0 && (longest == nil || j.submitted.Before(longest.submitted)) {
+			longest = j
+		}
+	}
+	var kinds, counts []string
+	for r := reason(0); r < reasons; r++ {
+		if jobs[r] > 0 {
+			kinds = append(kinds, r.String())
+			counts = append(counts, fmt.Sprintf("%s: %d jobs, %d tasks", r, jobs[r], tasks[r]))
+		}
+	}
+	if len(b.late) > 0 {
+		kinds = append(kinds, "late boots")
+	}
+	slices.Sort(kinds)
+	if !l.told.due(n.now, strings.Join(kinds, "; ")) {
+		return
+	}
+	if len(kinds) == 0 {
+		n.log.Info("no work waits")
+		return
+	}
+	args := []any{"why", strings.Join(counts, "; ")}
+	if b.next != nil {
+		booting := 0
+		for _, m := range l.fleetList {
+			if l.booting(m) {
+				booting++
+			}
+		}
+		args = append(args, "booting", booting, "longest", n.now.Sub(b.next.rented).Round(time.Second), "late", len(b.late))
+	}
+	if longest != nil {
+		args = append(args, "job", longest.ID, "waits", n.now.Round(0).Sub(longest.submitted).Round(time.Second))
+	}
+	n.log.Info("work waits", args...)
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -105,6 +105,7 @@
 	if l.phase == loading {
 		return
 	}
+	l.explain()
 	if n.now.Sub(f.typesAt) > typesInterval && f.budget.Take(n.now, 1) {
 		f.typesAt = n.now
 		n.fetchTypes(func(ok bool) {
@@ -328,7 +329,7 @@
 				continue
 			}
 			o, ok := bestOffer(offers, j.Job, left, allows)
-			if !ok {
+			if !ok || l.tooDear(j, o) {
 				break
 			}
 			b := rent(o)
@@ -365,6 +366,29 @@
 	}
 }
 
+// guestsPay is how many times the lowest price per CPU, of all that a job may use, is
+// paid for work of a team without a guarantee.
+const guestsPay = 1.5
+
+// tooDear reports whether a machine isn't rented for a job at the price: teams without
+// a guarantee take what is idle, and what is cheap, until they have waited for long.
+func (l *lead) tooDear(j *job, o offer) bool {
+	t := l.n.teams[j.Team]
+	if t == nil || t.CPUs > 0 || t.GPUs > 0 || j.Priority == protocol.Critical || j.overdue(l.n.now.Round(0)) {
+		return false
+	}
+	lowest := 0.0
+	for _, t := range l.n.types {
+		for _, spot := range []bool{false, l.n.op.Spot && t.SpotPrice > 0 && j.Spot} {
+			k := offer{spec: t, spot: spot}
+			if p := k.price() / t.CPUs; j.AllowsType(t.Name) && t.Fits(j.Job) && (lowest == 0 || p < lowest) {
+				lowest = p
+			}
+		}
+	}
+	return o.price()/o.spec.CPUs > guestsPay*lowest
+}
+
 // bestOffer is the cheapest way to run tasks of a job, by the price of the
 // share of a machine that they use; a machine much too large for what is left
 // counts in full.
@@ -481,7 +505,9 @@
 			}
 			l.fleetSoon()
 		case out.Answered && out.Status == 503 && protocol.NoCapacity(out.Body):
-			n.log.Info("no capacity", "type", o.spec.Name, "zone", o.zone, "spot", o.spot)
+			if n.now.Sub(f.blocked[key]) > capacityPause { // else it was so the last time, too
+				n.log.Info("no capacity", "type", o.spec.Name, "zone", o.zone, "spot", o.spot)
+			}
 			f.blocked[key] = n.now.Add(capacityPause)
 			l.fleetSoon()
 		case out.Answered && out.Status == 429:
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -52,6 +52,7 @@
 	journal   journal
 	fleet     fleet
 
+	told       told   // to operators, of work that waits
 	preferred  string // zone last recorded as the better one for leaders
 	placeAsked bool
 	checkAsked bool
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -102,6 +102,10 @@
 	storeBad  time.Time // when it first failed since; zero while it works
 	storeCost *bookkeeping.Budget
 
+	told         told   // to operators, of this node
+	trouble      string // as it is now; empty without any
+	troubleSince time.Time
+
 	election  election
 	admission admission
 	peers     map[string]*peerView
@@ -133,6 +137,7 @@
 	n.loadTypes()
 	n.every(time.Second, n.publish)
 	n.every(time.Second, n.checkStore)
+	n.every(time.Second, n.explainNode)
 	return n.take()
 }
 
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -144,12 +144,17 @@
 
 // turn is the job's rank, the wait for a first task considered.
 func (j *job) turn(wall time.Time) int {
-	if r := j.rank(); r < 3 || j.live > 0 || j.doneCount > 0 || wall.Sub(j.submitted) < overdueAfter {
+	if r := j.rank(); r < 3 || !j.overdue(wall) {
 		return r
 	}
 	return 1
 }
 
+// overdue reports whether a job has waited for its first task for too long.
+func (j *job) overdue(wall time.Time) bool {
+	return j.live == 0 && j.doneCount == 0 && wall.Sub(j.submitted) >= overdueAfter
+}
+
 // aged is the priority that waiting has brought a job, below critical.
 func (j *job) aged(wall time.Time) int {
 	if j.Priority == protocol.Critical {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -41,6 +41,9 @@
 		left := j.toStart()
 		if l.zoneOpen(j) {
 			left = l.placeJob(j)
+			if left > 0 && j.overdue(n.now.Round(0)) {
+				l.reserve(j)
+			}
 		}
 		if left > 0 && (l.journal.full() || l.work > l.allowance) {
 			// The rest waits for records or for the next round, not for room: nothing
@@ -74,6 +77,22 @@
 	}
 }
 
+// reserve keeps the machine with most free room for one task of a job that is overdue.
+// Where small tasks take each bit of room that frees, a large one never finds enough
+// of it in one place, although its turn comes first.
+func (l *lead) reserve(j *job) {
+	var best *machine
+	for _, m := range l.opened {
+		if m.promised == (usage{}) && m.allowed(j.Job) && j.zoneAllows(m.zone) && m.spec.Fits(j.Job) && !l.avoids(j, m) &&
+			(best == nil || m.spec.CPUs-m.cpus > best.spec.CPUs-best.cpus) {
+			best = m
+		}
+	}
+	if best != nil {
+		best.promise(j.Job)
+	}
+}
+
 // roundWork is how many machines a round may look at, over all jobs. Between rounds
 // the leader renews its lease and answers workers and users.
 const roundWork = 250_000
