--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -110,6 +110,7 @@
 	if n.lead != nil && e.leaderVersion != n.lead.version && e.leaderVersion > n.lead.version {
 		n.stepDown("another leader was elected")
 	}
+	n.releaseHeld()
 	if n.lead != nil {
 		return
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -311,6 +311,7 @@
 			}
 			return !j.Spread || zones[zone]+1 <= (j.Tasks+1)/2
 		}
+		from := 0
 		for ; left > 0 && total < rentAtOnce; left-- {
 			if room.cpus < j.CPUs-protocol.Epsilon || room.gpus < j.GPUs-protocol.Epsilon {
 				break
@@ -318,12 +319,15 @@
 			room.cpus -= j.CPUs
 			room.gpus -= j.GPUs
 			placed := false
-			for _, b := range bins {
-				if allows(b.offer.zone) && b.take(j) {
+			for i := from; i < len(bins); i++ {
+				if b := bins[i]; allows(b.offer.zone) && b.take(j) {
 					zones[b.offer.zone]++
 					placed = true
 					break
 				}
+				if i == from && !j.OneZone && !j.Spread {
+					from++ // for none of the job's tasks: it may have thousands
+				}
 			}
 			if placed {
 				continue
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -171,6 +171,7 @@
 	n.publish()
 	l.renew()
 	l.load()
+	n.releaseHeld()
 	l.every(watchInterval, l.watchMachines)
 	l.every(time.Second, l.fleetStep)
 }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -109,6 +109,10 @@
 // report answers a worker.
 func (n *Node) report(id uint64, body []byte) {
 	l := n.lead
+	if l == nil && n.leaderDoubtful() && !n.storeDown() {
+		n.holdForLeader(id, body)
+		return
+	}
 	if l == nil || !l.entitled() {
 		// Never 200 here: it would hold the worker while its lease runs out.
 		n.reply(id, 421, protocol.Redirect(n.leaderName()))
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -106,6 +106,7 @@
 	trouble      string // as it is now; empty without any
 	troubleSince time.Time
 
+	held      []heldReport // wait for a leader
 	election  election
 	admission admission
 	peers     map[string]*peerView
--- /dev/null
+++ b/internal/coordination/operations_test.go
@@ -0,0 +1,285 @@
+package coordination
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/config"
+	"brasskeel/internal/protocol"
+)
+
+// What on-call met: jobs with a mistake, boots that are late, polls by the thousand,
+// guests, and a service that said nothing.
+
+func addTestJob(l *lead, id string, change func(*protocol.Job)) *job {
+	spec := &protocol.Job{ID: id, Class: "c", Team: "red", Kind: protocol.Batch, Priority: protocol.Standard, Tasks: 10, CPUs: 1,
+		MemGB: 1, Image: "a", ImageGB: 1, Spot: true, Estimate: 30 * time.Second}
+	change(spec)
+	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(l.n.now), Chunk: 96, Spec: spec})
+	return l.jobs[id]
+}
+
+func addTestMachine(l *lead, name string, up bool) *machine {
+	m := l.newMachine(name, "small", "a", true)
+	if up {
+		m.up, m.recorded, m.heard, m.reached, m.session, m.addr = true, true, l.n.now, l.n.now, 1, "x"
+	}
+	return m
+}
+
+// fail lets one task of a job fail on a machine.
+func fail(l *lead, m *machine, j *job) {
+	a := &attempt{job: j, task: j.peekTask(), machine: m, recorded: true}
+	j.takeTask()
+	l.attach(a)
+	l.failed(m, a)
+	l.detach(a, "test")
+}
+
+// Jobs that fail everywhere cost no machine, however many meet on it; jobs that are
+// known to work do when they fail there.
+func TestFaultyMachineOrFaultyJobs(t *testing.T) {
+	for _, works := range []bool{false, true} {
+		n, l := leading(active)
+		m := addTestMachine(l, "vm-1", true)
+		addTestMachine(l, "vm-2", true)
+		for i := range 5 {
+			fail(l, m, addTestJob(l, fmt.Sprintf("run-%06d", i), func(*protocol.Job) {}))
+		}
+		if m.sick {
+			t.Fatal("five jobs of which nothing is known cost a machine")
+		}
+		for i := range 2 {
+			j := addTestJob(l, fmt.Sprintf("run-%06d", 10+i), func(*protocol.Job) {})
+			if works { // tasks of it run elsewhere
+				l.runs(j)
+				n.now = n.now.Add(provenAfter)
+			}
+			fail(l, m, j)
+		}
+		if m.sick != works {
+			t.Errorf("two jobs that work elsewhere %t: faulty %t", works, m.sick)
+		}
+	}
+}
+
+// A job that fails everywhere is tried with one task at a time, ever more slowly, and
+// all of it once a task runs for a while.
+func TestTrialOfFailingJob(t *testing.T) {
+	n, l := leading(active)
+	l.teams["red"] = &usage{}
+	n.teams["red"].CPUsMax = 100
+	j := addTestJob(l, "run-000001", func(*protocol.Job) {})
+	for i := range 4 {
+		fail(l, addTestMachine(l, fmt.Sprintf("vm-%d", i), true), j)
+	}
+	var last time.Duration
+	for range 12 {
+		n.now = j.notBefore
+		for _, m := range l.fleetList {
+			m.heard = n.now
+		}
+		l.place()
+		if j.live != 1 {
+			t.Fatalf("%d tasks placed of a job that fails everywhere", j.live)
+		}
+		for _, a := range j.chunk(0).starts {
+			l.failed(a.machine, a)
+			l.detach(a, "test")
+		}
+		j.chunk(0).starts = nil
+		last = j.notBefore.Sub(n.now)
+	}
+	if last != trialPauseMax {
+		t.Errorf("after 12 trials %s until the next", last)
+	}
+	n.now = j.notBefore
+	for _, m := range l.fleetList {
+		m.heard = n.now
+	}
+	l.place()
+	l.runs(j)
+	n.now = n.now.Add(provenAfter)
+	l.place()
+	if j.live != j.Tasks {
+		t.Errorf("%d of %d tasks placed after one has run", j.live, j.Tasks)
+	}
+}
+
+// Boots that are late are replaced once; when most are, only a part is, and none is
+// given up soon. A new leader doesn't judge machines that may have been up for long.
+func TestLateBoots(t *testing.T) {
+	count := func(late, came int, inherited bool) (*Node, *lead) {
+		n, l := leading(active)
+		n.teams["red"].CPUsMax = 1000
+		l.loadedAt = n.now
+		for i := range late {
+			m := addTestMachine(l, fmt.Sprintf("vm-%d", i), false)
+			m.rented, m.inherited = n.now.Add(-45*time.Second), inherited
+		}
+		for i := range came {
+			addTestMachine(l, fmt.Sprintf("vm-up-%d", i), true)
+		}
+		return n, l
+	}
+	for _, c := range []struct {
+		late, came int
+		inherited  bool
+		coming     int
+		returned   int // of 45 s after the rental, when four times the usual time is 40 s
+	}{
+		{late: 2, came: 8, coming: 0, returned: 2},
+		{late: 8, came: 2, coming: 6, returned: 0},
+		{late: 2, came: 8, inherited: true, coming: 0, returned: 0},
+		{late: 8, came: 2, inherited: true, coming: 0, returned: 0},
+	} {
+		_, l := count(c.late, c.came, c.inherited)
+		l.fleet.unmet = []demand{{job: addTestJob(l, "run-000001", func(*protocol.Job) {}), left: 1}}
+		if got := len(l.coming()); got != c.coming {
+			t.Errorf("%+v: %d counted as room to come", c, got)
+		}
+		l.endBoots()
+		returned := 0
+		for _, m := range l.fleetList {
+			if m.releasing {
+				returned++
+			}
+		}
+		if returned != c.returned {
+			t.Errorf("%+v: %d returned", c, returned)
+		}
+	}
+}
+
+// However many users ask, a node asks the state service a bounded number of times, and
+// what another node has told it to be over costs nothing.
+func TestPollsShareChecks(t *testing.T) {
+	n, _ := leading(active)
+	n.stepDown("test")
+	n.take()
+	checks, answered := 0, 0
+	for i := range 2000 {
+		n.now = n.now.Add(5 * time.Millisecond)
+		e := n.Request(n.now, uint64(i), "GET", fmt.Sprintf("%s/run-%06d", protocol.PathJobs, i%30), nil)
+		t := n.Tick(n.now)
+		e.Calls, e.Replies = append(e.Calls, t.Calls...), append(e.Replies, t.Replies...)
+		for k := 0; k < len(e.Calls); k++ {
+			if c := e.Calls[k]; c.Target == protocol.PathMulti {
+				checks++
+				r := n.Result(n.now, c.ID, Outcome{Answered: true, Status: 200, Body: protocol.EncodeRevision(1)})
+				e.Replies, e.Calls = append(e.Replies, r.Replies...), append(e.Calls, r.Calls...)
+			}
+		}
+		for _, r := range e.Replies {
+			if r.Status == 404 { // none of them exists
+				answered++
+			}
+		}
+	}
+	if most := int(n.cfg.StateRPS*10/checksShare) + 2; checks > most || checks == 0 {
+		t.Errorf("%d checks in 10 s, want at most %d", checks, most)
+	}
+	if answered < 1900 {
+		t.Errorf("%d of 2000 questions answered", answered)
+	}
+
+	n.cfg.Peers = []config.Peer{{Name: "n1", Zone: "b"}}
+	raw, err := json.Marshal(peerMessage{Node: "n1", Done: map[string]int{"run-000999": 3}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Peer(n.now, raw)
+	e := n.Request(n.now, 9999, "GET", protocol.PathJobs+"/run-000999", nil)
+	if len(e.Calls) != 0 || len(e.Replies) != 1 || e.Replies[0].Status != 200 {
+		t.Errorf("a job that a peer has told to be done: %+v", e)
+	}
+}
+
+// Submissions that come together share a transaction; one that is known already doesn't
+// keep the others from being accepted.
+func TestSubmissionsShareTransactions(t *testing.T) {
+	n, _ := leading(active)
+	n.take()
+	var calls []Call
+	for i := range 5 {
+		e := n.Request(n.now, uint64(i), "POST", protocol.PathJobs, protocol.EncodeJob(benchJob(2+i)))
+		calls = append(calls, e.Calls...)
+	}
+	if len(calls) != 1 {
+		t.Fatalf("%d calls for five submissions at once", len(calls))
+	}
+	e := n.Result(n.now, calls[0].ID, Outcome{Answered: true, Status: 200, Body: protocol.EncodeRevision(7)})
+	if len(e.Replies) != 1 || len(e.Calls) != 1 || bytes.Count(e.Calls[0].Body, []byte(`"write"`)) != 4 {
+		t.Fatalf("the rest in one: %d answers, %d calls", len(e.Replies), len(e.Calls))
+	}
+	failed := protocol.EncodeFailed([]string{bookkeeping.KeyActive(benchJob(4).ID)}, 8)
+	e = n.Result(n.now, e.Calls[0].ID, Outcome{Answered: true, Status: 409, Body: failed})
+	again := 0
+	for _, c := range e.Calls {
+		if c.Target == protocol.PathMulti {
+			again = bytes.Count(c.Body, []byte(`"write"`))
+		}
+	}
+	if again != 3 {
+		t.Errorf("%d of the three others are written again", again)
+	}
+}
+
+// Teams without a guarantee don't have dear machines rented, until they have waited for
+// long.
+func TestGuestsPay(t *testing.T) {
+	n, l := leading(active)
+	n.teams["guest"] = &config.Team{Name: "guest", CPUsMax: config.NoLimit}
+	guest := addTestJob(l, "run-000001", func(j *protocol.Job) { j.Team = "guest" })
+	other := addTestJob(l, "run-000002", func(*protocol.Job) {})
+	dear := offer{spec: n.types["small"], zone: "a"} // twice the price of a spot machine
+	if !l.tooDear(guest, dear) || l.tooDear(other, dear) || l.tooDear(guest, offer{spec: dear.spec, zone: "a", spot: true}) {
+		t.Error("prices are judged wrongly")
+	}
+	n.now = n.now.Add(overdueAfter)
+	if l.tooDear(guest, dear) {
+		t.Error("a guest's job waits for ever for a cheap machine")
+	}
+}
+
+// Why work waits is told at level info: when it changes and from time to time, and no
+// more often.
+func TestWaitsAreTold(t *testing.T) {
+	n, l := leading(active)
+	var out bytes.Buffer
+	n.log = slog.New(slog.NewTextHandler(&out, nil))
+	n.teams["red"].CPUsMax = 4
+	l.teams["red"] = &usage{}
+	addTestJob(l, "run-000001", func(j *protocol.Job) { j.CPUs = 4 })
+	lines := func(want string) int { return strings.Count(out.String(), want) }
+	step := func(d time.Duration) {
+		for range int(d / time.Second) {
+			n.now = n.now.Add(time.Second)
+			l.explain()
+		}
+	}
+	step(20 * time.Second)
+	if lines("work waits") != 1 {
+		t.Fatalf("said %q", out.String())
+	}
+	l.teams["red"].cpus = 4
+	step(60 * time.Second)
+	if k := lines("the team's limit"); k < 2 || k > 4 {
+		t.Errorf("the limit is told %d times in a minute: %s", k, out.String())
+	}
+	n.stepDown("test")
+	n.election.leaderVersion = 0
+	for range 20 {
+		n.now = n.now.Add(time.Second)
+		n.explainNode()
+	}
+	if k := lines("no leader is known"); k != 1 {
+		t.Errorf("a missing leader is told %d times in 20 s: %s", k, out.String())
+	}
+}
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -63,10 +63,11 @@
 	if rng.IntN(2) == 0 {
 		c.reportCopies = time.Duration(2+rng.IntN(45)) * time.Second
 	}
+	badOf := []int{15, 15, 3}[rng.IntN(3)] // one job in so many fails everywhere
 	c.Advance(3 * time.Second)
 	var accepted []string
 	count := 0
-	submit := func() {
+	submit := func(change func(*protocol.Job)) {
 		count++
 		spec := protocol.Job{ID: fmt.Sprintf("run-%06d", count), Class: []string{"one", "two"}[rng.IntN(2)], Team: []string{"red", "blue", "guest"}[rng.IntN(3)],
 			Kind: protocol.Batch, Priority: protocol.Priority(1 + rng.IntN(4)), Tasks: (1 + rng.IntN(9)) * scale, CPUs: float64(1 + rng.IntN(2)),
@@ -80,8 +81,9 @@
 		case 1:
 			spec.Checkpoint, spec.Save = 5*time.Second, 2*time.Second
 		}
+		change(&spec)
 		id := spec.ID
-		c.Submit(rng.IntN(3), spec, run, rng.IntN(15) == 0, func(status int, _ string) {
+		c.Submit(rng.IntN(3), spec, run, rng.IntN(badOf) == 0, func(status int, _ string) {
 			if status == 200 || status == 201 {
 				accepted = append(accepted, id)
 			}
@@ -110,7 +112,7 @@
 	for range 60 {
 		c.Advance(time.Duration(200+rng.IntN(5000)) * time.Millisecond)
 		for range rng.IntN(3) {
-			submit()
+			submit(func(*protocol.Job) {})
 		}
 		if len(accepted) > 0 && rng.IntN(4) == 0 {
 			c.CancelJob(rng.IntN(3), accepted[rng.IntN(len(accepted))], func(int, string) {})
@@ -119,7 +121,42 @@
 			c.Poll(rng.IntN(3), fmt.Sprintf("run-%06d", 1+rng.IntN(count)), func(int, string) {})
 		}
 		n := c.nodes[rng.IntN(3)]
-		switch rng.IntN(19) {
+		switch rng.IntN(26) {
+		case 19: // without power for up to more than a minute
+			if n.core != nil {
+				n.crash()
+				n.silent = true
+				later(75, func() {
+					if n.core == nil {
+						n.start()
+					}
+				})
+			}
+		case 20:
+			if i := c.Leader(); i >= 0 && rng.IntN(2) == 0 {
+				n = c.nodes[i]
+			}
+			n.freeze()
+			later(30, n.thaw)
+		case 21: // boots are slow, at once, or never
+			c.cloud.factor, c.cloud.dead = []float64{0.01, 1, 6}[rng.IntN(3)], []float64{0, 0.5}[rng.IntN(2)]
+			c.cloud.answers = time.Duration(rng.IntN(3000)) * time.Millisecond
+			later(60, func() { c.cloud.factor, c.cloud.dead, c.cloud.answers = 0, 0, 0 })
+		case 22:
+			c.state.late, c.state.lateMore, c.state.lateShare = 2*time.Second, 10*time.Second, 0.05+rng.Float64()/3
+			later(20, func() { c.state.late, c.state.lateMore, c.state.lateShare = 0, 0, 0 })
+		case 23:
+			if count > 0 {
+				c.Storm(1000, 10*time.Second)
+			}
+		case 24:
+			for range 25 {
+				submit(func(j *protocol.Job) { j.Tasks, j.Spread = 1, false })
+			}
+		case 25: // one huge array of small tasks
+			submit(func(j *protocol.Job) {
+				j.Kind, j.Team, j.Tasks, j.CPUs, j.MemGB = protocol.Batch, "guest", 300*scale, 0.125, 0.1
+			})
 		case 14: // reports arrive, nothing of ours does
 			for _, h := range hosts() {
 				reset := rng.IntN(2) == 0
@@ -248,8 +285,10 @@
 	c.Heal()
 	c.state.setOutage(false)
 	clear(c.state.refused)
-	c.state.late, c.cloud.late, c.cloud.outage, c.reportCopies = 0, 0, false, 0
+	c.state.late, c.state.lateShare, c.cloud.late, c.cloud.outage, c.reportCopies = 0, 0, 0, false, 0
+	c.cloud.factor, c.cloud.dead, c.cloud.answers = 0, 0, 0
 	for _, n := range c.nodes {
+		n.thaw()
 		if n.core == nil {
 			n.start()
 		}
@@ -261,6 +300,7 @@
 	// A submission whose answer was lost may have been accepted all the same.
 	for i := range count {
 		id := fmt.Sprintf("run-%06d", i+1)
+		c.Advance(50 * time.Millisecond) // within what the state service takes
 		if j := c.jobs[id]; j.spec.Kind == protocol.Service || j.bad {
 			c.CancelJob(0, id, func(status int, state string) {
 				if status != 200 && !(status == 404 && !j.accepted) {
@@ -275,6 +315,9 @@
 			t.Error(s)
 		}
 	}
+	for _, f := range c.Forgotten() {
+		t.Log(f) // during the troubles it may be so
+	}
 	for _, id := range accepted {
 		c.Poll(0, id, func(status int, text string) {
 			if status != 200 || !strings.HasPrefix(text, "done") && !strings.HasPrefix(text, "aborted") {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -18,6 +18,9 @@
 	outage   bool
 	late     time.Duration // rentals and returns are carried out late, unanswered
 	never    bool          // what is rented now never comes up
+	dead     float64       // share of what is rented now that never comes up
+	factor   float64       // of boot times; 0 for 1
+	answers  time.Duration // rentals are carried out at once and answered this much later
 }
 
 // host is one machine of the cloud.
@@ -48,7 +51,7 @@
 func (k *cloud) start(typ, zone string, spot bool, boot time.Duration) *host {
 	h := &host{name: fmt.Sprintf("vm-%06d", len(k.hosts)), typ: typ, zone: zone, spot: spot, rented: k.c.now}
 	k.hosts = append(k.hosts, h)
-	if k.never {
+	if k.never || k.dead > 0 && k.c.rng.Float64() < k.dead {
 		return h
 	}
 	k.c.after(boot, func() {
@@ -133,7 +136,7 @@
 			respond(503, protocol.CloudError("no capacity"))
 			return
 		}
-		respond(200, protocol.EncodeNames(names))
+		k.c.after(k.answers, func() { respond(200, protocol.EncodeNames(names)) })
 	case path == protocol.PathHosts:
 		k.list(query.Get("after"), respond)
 	default:
@@ -152,6 +155,9 @@
 	var names []string
 	for range n {
 		boot := k.spec(r.Type).Boot * time.Duration(60+k.c.rng.IntN(60)) / 100
+		if k.factor > 0 {
+			boot = time.Duration(float64(boot) * k.factor)
+		}
 		names = append(names, k.start(r.Type, r.Zone, r.Spot, boot).name)
 	}
 	k.requests[r.Request] = names
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -70,6 +70,7 @@
 	workers  map[string]*worker
 	jobs     map[string]*userJob
 	links    map[link]*cut
+	used     map[string]float64 // CPUs, by team
 	broken   []string
 	copies   bool // direct orders that were carried out arrive once more, later
 	// Reports arrive once more, after up to this long.
@@ -87,6 +88,9 @@
 	wakeAt time.Time
 	reqID  uint64
 	open   map[uint64]func(status int, body []byte)
+	silent bool     // without power: nothing on it even refuses a connection
+	frozen bool     // its process does nothing for now
+	queued []func() // what came meanwhile
 }
 
 // link is a direction between two hosts; cut is what happens on it.
@@ -110,7 +114,7 @@
 func New(o Options) *Cluster {
 	begin := time.Date(2026, 9, 21, 12, 0, 0, 0, time.UTC)
 	c := &Cluster{now: begin, begin: begin, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[string]*worker{},
-		jobs: map[string]*userJob{}, links: map[link]*cut{}}
+		jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}}
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
@@ -293,6 +297,7 @@
 		}
 	}
 	n.open = map[uint64]func(int, []byte){}
+	n.silent = false
 	boot := uint64(slices.Index(c.nodes, n)+1)<<32 | n.boots
 	n.core = coordination.New(&s, config.DefaultOperator(), c.log.With("node", n.name), boot, c.now)
 	n.apply(n.core.Start(c.now))
@@ -302,6 +307,7 @@
 func (n *node) crash() {
 	n.core = nil
 	n.open = nil
+	n.frozen, n.queued = false, nil
 	if n.wake != nil {
 		n.wake.run = nil
 		n.wake = nil
@@ -314,9 +320,39 @@
 	if n.core == nil {
 		return
 	}
-	n.reqID++
-	n.open[n.reqID] = respond
-	n.apply(n.core.Request(n.c.now, n.reqID, method, target, body))
+	n.run(func() {
+		n.reqID++
+		n.open[n.reqID] = respond
+		n.apply(n.core.Request(n.c.now, n.reqID, method, target, body))
+	})
+}
+
+// run does f now, or when the process goes on, if it is still the same.
+func (n *node) run(f func()) {
+	if n.frozen {
+		core := n.core
+		n.queued = append(n.queued, func() {
+			if n.core == core {
+				f()
+			}
+		})
+		return
+	}
+	f()
+}
+
+// freeze stops the process, thaw lets it go on with all that has come meanwhile.
+func (n *node) freeze() { n.frozen = true }
+
+func (n *node) thaw() {
+	n.frozen = false
+	queued := n.queued
+	n.queued = nil
+	for _, f := range queued {
+		if n.core != nil {
+			f()
+		}
+	}
 }
 
 // apply does what a step of the core asks for.
@@ -333,7 +369,7 @@
 		finish := func(o coordination.Outcome) {
 			if !finished && n.core == core {
 				finished = true
-				n.apply(core.Result(c.now, k.ID, o))
+				n.run(func() { n.apply(core.Result(c.now, k.ID, o)) })
 			}
 		}
 		c.after(k.Timeout, func() { finish(coordination.Outcome{}) })
@@ -363,7 +399,7 @@
 			if o != n {
 				c.send(n.name, o.name, func() {
 					if o.core != nil {
-						o.apply(o.core.Peer(c.now, p.Body))
+						o.run(func() { o.apply(o.core.Peer(c.now, p.Body)) })
 					}
 				})
 			}
@@ -389,7 +425,7 @@
 	n.wake = n.c.after(next.Sub(n.c.now), func() {
 		n.wake = nil
 		if n.core == core {
-			n.apply(core.Tick(n.c.now))
+			n.run(func() { n.apply(core.Tick(n.c.now)) })
 		}
 	})
 }
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -194,6 +194,28 @@
 			}
 		}
 		return ""
+	case "silence":
+		// silence NODE: its machine has lost power. It is back with restart.
+		n := r.c.nodes[r.node(t, d, first(t, d))]
+		n.crash()
+		n.silent = true
+		return n.name
+	case "freeze":
+		n := r.c.nodes[r.node(t, d, first(t, d))]
+		n.freeze()
+		return n.name
+	case "thaw":
+		for _, n := range r.c.nodes {
+			n.thaw()
+		}
+		return ""
+	case "storm":
+		// storm COUNT over=D
+		count, _ := strconv.Atoi(first(t, d))
+		r.c.Storm(count, duration(t, d, arg(d, "over", "10s")))
+		return ""
+	case "forgotten":
+		return strings.Join(r.c.Forgotten(), "\n")
 	case "state":
 		switch first(t, d) {
 		case "down":
@@ -201,11 +223,20 @@
 		case "up":
 			r.c.state.setOutage(false)
 			clear(r.c.state.refused)
-			r.c.state.late = 0
+			r.c.state.late, r.c.state.lateMore, r.c.state.lateShare = 0, 0, 0
 		case "refuse":
 			r.c.state.refused[r.c.nodes[r.node(t, d, arg(d, "node", "leader"))].name] = true
 		case "late":
+			// late by=D [more=D] [share=S]
 			r.c.state.late = duration(t, d, arg(d, "by", "2s"))
+			r.c.state.lateMore = duration(t, d, arg(d, "more", "0s"))
+			r.c.state.lateShare = number(t, d, "share", "0")
+		case "spent":
+			// Since the start or the last time.
+			s := r.c.state
+			out := fmt.Sprintf("changes=%d limited=%d", s.changed, s.limited)
+			s.changed, s.limited = 0, 0
+			return out
 		default:
 			d.Fatalf(t, "unknown state of the state service")
 		}
@@ -216,11 +247,16 @@
 		case "down":
 			k.outage = true
 		case "up":
-			k.outage, k.late, k.never = false, 0, false
+			k.outage, k.late, k.never, k.dead, k.factor, k.answers = false, 0, false, 0, 0, 0
 		case "late":
 			k.late = duration(t, d, arg(d, "by", "5s"))
 		case "never":
 			k.never = true
+		case "boots":
+			// boots factor=F [dead=S] [answers=D]: boot times, the share that never comes
+			// up, and how late rentals are answered.
+			k.factor, k.dead = number(t, d, "factor", "1"), number(t, d, "dead", "0")
+			k.answers = duration(t, d, arg(d, "answers", "0s"))
 		default:
 			d.Fatalf(t, "unknown state of the cloud")
 		}
@@ -383,12 +419,12 @@
 	}
 	from, _ := strconv.Atoi(d.CmdArgs[0].Key)
 	count, _ := strconv.Atoi(d.CmdArgs[1].Key)
-	every := duration(t, d, arg(d, "every", "1s"))
+	every, bad := duration(t, d, arg(d, "every", "1s")), arg(d, "bad", "") != ""
 	for i := range count {
 		spec, run := r.spec(t, d, fmt.Sprintf("run-%06d", from+i))
 		r.c.after(time.Duration(i)*every, func() {
 			if node := r.c.Leader(); node >= 0 {
-				r.c.Submit(node, spec, run, false, func(int, string) {})
+				r.c.Submit(node, spec, run, bad, func(int, string) {})
 			}
 		})
 	}
@@ -472,5 +508,8 @@
 	if j == nil {
 		d.Fatalf(t, "no such job")
 	}
+	if j.failures > 0 {
+		return fmt.Sprintf("starts=%d completed=%d failures=%d", j.starts, len(j.completed), j.failures)
+	}
 	return fmt.Sprintf("starts=%d completed=%d", j.starts, len(j.completed))
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -22,7 +22,13 @@
 	watches  []*watch
 	outage   bool
 	refused  map[string]bool // nodes that alone get 503
-	late     time.Duration   // transactions are applied this much late and unanswered
+	// Transactions are applied this much late, and up to lateMore later, and unanswered:
+	// all of them, or lateShare.
+	late, lateMore time.Duration
+	lateShare      float64
+
+	requests, changes *bookkeeping.Budget // what the settings allow a second
+	changed, limited  int                 // changes made, and requests refused for their number
 }
 
 type change struct {
@@ -45,7 +51,9 @@
 }
 
 func newStateService(c *Cluster) *stateService {
-	return &stateService{c: c, keys: map[string]protocol.Item{}, leases: map[uint64]*lease{}, refused: map[string]bool{}}
+	rps, changes := c.settings.StateRPS, c.settings.StateWriteRPS
+	return &stateService{c: c, keys: map[string]protocol.Item{}, leases: map[uint64]*lease{}, refused: map[string]bool{},
+		requests: bookkeeping.NewBudget(rps, rps, c.now), changes: bookkeeping.NewBudget(changes, changes, c.now)}
 }
 
 func (s *stateService) leader() string {
@@ -175,6 +183,11 @@
 		respond(503, nil)
 		return
 	}
+	if !s.requests.Take(s.c.now, 1) {
+		s.limited++
+		respond(429, nil)
+		return
+	}
 	path, query := protocol.Query(target)
 	switch {
 	case path == protocol.PathMulti:
@@ -183,8 +196,18 @@
 			respond(400, nil)
 			return
 		}
-		if s.late > 0 && len(t.Then) > 0 {
-			s.c.after(s.late, func() { s.commit(t, func(int, []byte) {}) })
+		if !s.changes.Take(s.c.now, float64(len(t.Then))) {
+			s.limited++
+			respond(429, nil)
+			return
+		}
+		s.changed += len(t.Then)
+		if s.late > 0 && len(t.Then) > 0 && (s.lateShare == 0 || s.c.rng.Float64() < s.lateShare) {
+			late := s.late
+			if s.lateMore > 0 {
+				late += time.Duration(s.c.rng.Int64N(int64(s.lateMore)))
+			}
+			s.c.after(late, func() { s.commit(t, func(int, []byte) {}) })
 			return
 		}
 		s.commit(t, respond)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -17,6 +17,7 @@
 	completed map[int]bool
 	progress  map[int]time.Duration
 	on        map[int]map[*worker]bool // machines each task is on
+	zones     map[string]int           // their number by zone
 	starts    int
 
 	submitted time.Time
@@ -25,6 +26,10 @@
 	asked     bool // a cancellation was asked for
 	cancelled time.Time
 	told      protocol.JobState // a final state told
+	failures  int
+
+	asking  time.Time     // since when questions about it got no answer; zero: answered last
+	longest time.Duration // that this lasted
 }
 
 // Submit sends a job to a node; done gets the status and the state told.
@@ -32,7 +37,7 @@
 	j := c.jobs[spec.ID]
 	if j == nil {
 		j = &userJob{spec: spec, run: run, bad: bad, completed: map[int]bool{}, progress: map[int]time.Duration{},
-			on: map[int]map[*worker]bool{}, submitted: c.now}
+			on: map[int]map[*worker]bool{}, zones: map[string]int{}, submitted: c.now}
 		c.jobs[spec.ID] = j
 	}
 	told := c.told(spec.ID)
@@ -53,6 +58,9 @@
 	known, told := c.jobs[id] != nil && c.jobs[id].accepted, c.told(id)
 	c.user(node, "GET", protocol.PathJobs+"/"+id, nil, func(status int, body []byte) {
 		j := c.jobs[id]
+		if j != nil && j.accepted && !j.asked {
+			j.answered(c.now, status == 200)
+		}
 		if status == 200 {
 			if j == nil || !j.accepted {
 				if j == nil {
@@ -74,6 +82,50 @@
 	})
 }
 
+// answered notes whether a question about a job got its answer.
+func (j *userJob) answered(now time.Time, ok bool) {
+	switch {
+	case ok:
+		j.asking = time.Time{}
+	case j.asking.IsZero():
+		j.asking = now
+	default:
+		j.longest = max(j.longest, now.Sub(j.asking))
+	}
+}
+
+// Storm lets users ask count times in all, over a time, about jobs and from nodes as
+// they come. Nodes that are down aren't asked: the load balancer leaves them out.
+func (c *Cluster) Storm(count int, over time.Duration) {
+	var ids []string
+	for id := range c.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for i := range count {
+		c.after(over*time.Duration(i)/time.Duration(count), func() {
+			if node := c.rng.IntN(len(c.nodes)); c.nodes[node].core != nil {
+				c.Poll(node, ids[c.rng.IntN(len(ids))], func(int, string) {})
+			}
+		})
+	}
+}
+
+// forgottenAfter is how long questions about a job may go without an answer.
+const forgottenAfter = 75 * time.Second
+
+// Forgotten lists the jobs that were longer without one.
+func (c *Cluster) Forgotten() []string {
+	var list []string
+	for id, j := range c.jobs {
+		if j.longest > forgottenAfter {
+			list = append(list, fmt.Sprintf("%s got no answer for %s", id, j.longest.Round(time.Second)))
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // CancelJob asks a node to cancel a job.
 func (c *Cluster) CancelJob(node int, id string, done func(status int, state string)) {
 	j := c.jobs[id]
@@ -247,12 +299,8 @@
 	if !j.cancelled.IsZero() && c.now.Sub(j.cancelled) > c.settings.CancelWithin {
 		c.breaks("ran_cancelled", "%s starts on %s", t, w.name)
 	}
-	zones := map[string]int{}
-	for task := range j.on {
-		for x := range j.on[task] {
-			zones[x.host.zone]++
-		}
-	}
+	zones := j.zones
+	zones[w.host.zone]++
 	s := &j.spec
 	switch {
 	case !s.AllowsType(w.host.typ), s.Zone != "" && s.Zone != w.host.zone, w.host.spot && !s.Spot:
@@ -262,14 +310,8 @@
 	case s.Spread && zones[w.host.zone] > (s.Tasks+1)/2:
 		c.breaks("wrong_place", "%s on %s: %d of %d tasks in zone %s", t, w.name, zones[w.host.zone], s.Tasks, w.host.zone)
 	}
-	used := 0.0
-	for _, k := range c.jobs {
-		if k.spec.Team == s.Team {
-			for task := range k.on {
-				used += float64(len(k.on[task])) * k.spec.CPUs
-			}
-		}
-	}
+	c.used[s.Team] += s.CPUs
+	used := c.used[s.Team]
 	for _, team := range c.settings.Teams {
 		if team.Name == s.Team && used > team.CPUsMax+protocol.Epsilon {
 			c.breaks("quota", "team %s uses %g CPUs", s.Team, used)
@@ -278,10 +320,17 @@
 }
 
 func (c *Cluster) taskLeaves(w *worker, t *runningTask) {
-	if on := c.jobs[t.job].on[t.index]; on != nil {
-		delete(on, w)
-		if len(on) == 0 {
-			delete(c.jobs[t.job].on, t.index)
-		}
+	j := c.jobs[t.job]
+	on := j.on[t.index]
+	if !on[w] {
+		return
+	}
+	delete(on, w)
+	if len(on) == 0 {
+		delete(j.on, t.index)
+	}
+	c.used[j.spec.Team] -= j.spec.CPUs
+	if j.zones[w.host.zone]--; j.zones[w.host.zone] == 0 {
+		delete(j.zones, w.host.zone)
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -169,7 +169,7 @@
 	}
 	tryNext := func() { w.node++; w.reportIn(time.Second) }
 	c.after(4*time.Second, func() { w.run(func() { finish(tryNext) }) })
-	if n.core == nil {
+	if n.core == nil && !n.silent {
 		// The host refuses the connection.
 		c.after(2*time.Millisecond, func() { w.run(func() { finish(tryNext) }) })
 		return
@@ -325,6 +325,7 @@
 	}
 	w.change()
 	if w.sick || j.bad {
+		j.failures++
 		w.exit(t, protocol.ExitError)
 		return
 	}
