--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -23,8 +23,12 @@
 	unfitUntil    time.Time   // it led and reached too few machines
 	generation    int         // of the watch; an older one's news is dropped
 	changes       []time.Time // of the leadership, lately
+	lostLate      time.Time   // it lost the leadership while it was behind
 }
 
+// lostCounts is how long that is held against it.
+const lostCounts = 2 * time.Minute
+
 func (n *Node) startElection() {
 	e := &n.election
 	e.generation++
@@ -200,8 +204,18 @@
 // change, four times after three of them. A large fleet is most work for a new
 // leader; one that couldn't renew a short lease in time left the same work to the
 // next, and none ever got through with it.
+//
+// A leader that lost its lease while it was behind has twice as much to do as before:
+// alone with all workers of a fleet it lost each short one to the next peak, minutes
+// apart. And where no peer is heard, nobody waits for a short lease to end.
 func (n *Node) leaseTime() time.Duration {
 	recent := 0
+	if n.now.Sub(n.election.lostLate) < lostCounts && !n.election.lostLate.IsZero() {
+		return 4 * n.op.LeaderLease()
+	}
+	if len(n.cfg.Peers) > 0 && len(n.peers) > 0 && !n.hearsPeer() {
+		recent = 1
+	}
 	for _, at := range n.election.changes {
 		if n.now.Sub(at) <= changesCount {
 			recent++
@@ -307,6 +321,9 @@
 		return
 	}
 	n.log.Warn("stepping down", "term", l.term, "why", why)
+	if n.now.Sub(n.lateAt) < lateCounts && !n.lateAt.IsZero() && l.phase == active {
+		n.election.lostLate = n.now
+	}
 	n.lead = nil
 	n.startElection()
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -162,7 +162,7 @@
 			u.pinned++
 		}
 	}
-	n.log.Debug("fleet", "machines", len(l.fleetList), "spot", fmt.Sprintf("%+v", spot), "fixed", fmt.Sprintf("%+v", fixed), "unmet", len(f.unmet),
+	n.log.Debug("fleet", "machines", len(l.fleetList), "spot", fmt.Sprintf("%+v", spot), "fixed", fmt.Sprintf("%+v", fixed), "unmet", len(f.unmet), "lag", n.lag.Round(time.Millisecond),
 		"traffic", fmt.Sprintf("%+v", n.count))
 	n.count = traffic{}
 }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -86,8 +86,8 @@
 func (l *lead) adopt(name, typ, zone string, spot bool, age time.Duration) *machine {
 	m := l.newMachine(name, typ, zone, spot)
 	m.rented = l.n.now.Add(-age)
-	l.n.log.Info("unexpected machine adopted", "machine", name, "type", typ, "zone", zone, "spot", spot)
-	if l.phase != loading {
+	if l.phase != loading { // else its record may be read yet
+		l.n.log.Info("unexpected machine adopted", "machine", name, "type", typ, "zone", zone, "spot", spot)
 		l.journal.putMachine(m)
 	}
 	return m
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -89,6 +89,7 @@
 	count  traffic
 	now    time.Time
 	lag    time.Duration // of the last timer, behind its time
+	lateAt time.Time     // when that was last too much
 	out    Effects
 	calls  map[uint64]func(Outcome)
 	lastID uint64
@@ -164,6 +165,9 @@
 	n.now = now
 	if next := n.Next(); !next.IsZero() {
 		n.lag = max(0, now.Sub(next))
+		if n.late() {
+			n.lateAt = now
+		}
 	}
 	for len(n.timers) > 0 && !n.timers[0].at.After(now) {
 		t := heap.Pop(&n.timers).(*timer)
@@ -175,16 +179,23 @@
 }
 
 // Lags that tell that the process has more to do than its share of the processor
-// allows. Past the first, work that can wait does; past the second, users who only
-// ask are sent away at once, so that the leader's lease, reports and submissions
+// allows. Past the first, work that can wait does; past the second, only critical work
+// and that within guarantees is started; past the third, users who only ask are sent
+// away at once, so that the leader's lease, reports and submissions
 // are served: a leader that loses its lease for being late leaves the next one with
 // even more to do.
 const (
 	lagBehind = 150 * time.Millisecond
+	lagLate   = 400 * time.Millisecond
 	lagFar    = time.Second
 )
 
+// lateCounts is how long ago a leader may have been late for it to have lost its
+// leadership by that.
+const lateCounts = 3 * time.Second
+
 func (n *Node) behind() bool { return n.lag > lagBehind }
+func (n *Node) late() bool   { return n.lag > lagLate }
 
 // Next is when Tick is due; zero when nothing is planned.
 func (n *Node) Next() time.Time {
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -129,9 +129,12 @@
 	case j.within:
 		return 2
 	}
-	return 3
+	return rankRest
 }
 
+// rankRest is the rank of all that is neither critical nor within a guarantee.
+const rankRest = 3
+
 // overdueAfter is how long a job may wait for its first task before it goes ahead
 // of all but critical ones, and agingStep the wait that raises its priority among
 // those that wait by one. Without either a stream of small jobs, or of more urgent
@@ -144,7 +147,7 @@
 
 // turn is the job's rank, the wait for a first task considered.
 func (j *job) turn(wall time.Time) int {
-	if r := j.rank(); r < 3 || !j.overdue(wall) {
+	if r := j.rank(); r < rankRest || !j.overdue(wall) {
 		return r
 	}
 	return 1
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -38,6 +38,12 @@
 		}
 	}
 	for _, j := range order {
+		if j.turn(n.now.Round(0)) >= rankRest && n.late() {
+			// Each start makes reports and records to come. A leader alone with thousands
+			// of tasks of a few seconds lost its lease to them again and again.
+			l.fleet.partly = true
+			break
+		}
 		left := j.toStart()
 		if l.zoneOpen(j) {
 			left = l.placeJob(j)
@@ -71,7 +77,7 @@
 		l.allowance = roundWork
 	}
 	if l.fleet.partly {
-		l.n.after(recordPause, l.askPlaceAlive)
+		l.n.after(recordPause+n.lag/2, l.askPlaceAlive)
 	} else if len(l.fleet.unmet) > 0 {
 		l.fleetSoon()
 	}
