--- a/internal/coordination/operations_test.go
+++ b/internal/coordination/operations_test.go
@@ -242,6 +242,19 @@
 	if !l.tooDear(guest, dear) || l.tooDear(other, dear) || l.tooDear(guest, offer{spec: dear.spec, zone: "a", spot: true}) {
 		t.Error("prices are judged wrongly")
 	}
+	// Spot machines have run out.
+	l.fleet.blocked[offer{spec: dear.spec, zone: "a", spot: true}.key()] = n.now.Add(time.Hour)
+	for _, c := range []struct {
+		job   *job
+		rents bool
+	}{{guest, false}, {other, true}} {
+		n.take()
+		l.fleet.unmet = []demand{{c.job, 4}}
+		l.grow()
+		if rents := len(n.take().Calls) > 0; rents != c.rents {
+			t.Errorf("%s: dear machines rented %t", c.job.Team, rents)
+		}
+	}
 	n.now = n.now.Add(overdueAfter)
 	if l.tooDear(guest, dear) {
 		t.Error("a guest's job waits for ever for a cheap machine")
@@ -283,3 +296,61 @@
 		t.Errorf("a missing leader is told %d times in 20 s: %s", k, out.String())
 	}
 }
+
+// A large task finds room although small ones would take each bit that frees: a machine
+// is kept for it once its job has waited for too long.
+func TestOverdueJobGetsRoom(t *testing.T) {
+	n, l := leading(active)
+	n.teams["red"].CPUsMax = 100
+	l.teams["red"] = &usage{}
+	m := addTestMachine(l, "vm-1", true)
+	first := addTestJob(l, "run-000001", func(j *protocol.Job) { j.Tasks, j.CPUs = 1, 3 })
+	l.place()
+	large := addTestJob(l, "run-000002", func(j *protocol.Job) { j.Tasks, j.CPUs, j.Priority = 1, 4, protocol.Low })
+	large.submitted = n.now.Add(-overdueAfter)
+	small := addTestJob(l, "run-000003", func(*protocol.Job) {})
+	l.place()
+	if first.live != 1 || small.live != 0 {
+		t.Fatalf("%d and %d tasks run beside a job that is overdue", first.live, small.live)
+	}
+	l.detach(m.list[0], "test")
+	first.waiting = nil
+	l.place()
+	if large.live != 1 {
+		t.Error("the job that is overdue got no room")
+	}
+}
+
+// A leader that is late starts what is critical and leaves the rest for later; once it
+// has lost its lease for that, it asks for a longer one.
+func TestLateLeader(t *testing.T) {
+	n, l := leading(active)
+	n.teams["red"].CPUsMax = 100
+	l.teams["red"] = &usage{}
+	for i := range 4 {
+		addTestMachine(l, fmt.Sprintf("vm-%d", i), true)
+	}
+	rest := addTestJob(l, "run-000001", func(j *protocol.Job) { j.Tasks = 12 })
+	critical := addTestJob(l, "run-000002", func(j *protocol.Job) { j.Tasks, j.Priority = 2, protocol.Critical })
+	n.lag = 2 * lagLate
+	l.place()
+	if critical.live != 2 || rest.live != 0 {
+		t.Errorf("while late: %d critical tasks and %d others placed", critical.live, rest.live)
+	}
+	n.lag = 0
+	l.place()
+	if rest.live != 12 {
+		t.Errorf("%d of 12 tasks placed once it isn't late", rest.live)
+	}
+	base := n.op.LeaderLease()
+	n.lateAt = n.now
+	n.stepDown("test")
+	n.election.changes = nil
+	if got := n.leaseTime(); got != 4*base {
+		t.Errorf("after a lease lost for being late %s, want %s", got, 4*base)
+	}
+	n.now = n.now.Add(lostCounts)
+	if got := n.leaseTime(); got != base {
+		t.Errorf("after %s %s, want %s", lostCounts, got, base)
+	}
+}
