--- a/internal/coordination/operations_test.go
+++ b/internal/coordination/operations_test.go
@@ -236,6 +236,7 @@
 func TestGuestsPay(t *testing.T) {
 	n, l := leading(active)
 	n.teams["guest"] = &config.Team{Name: "guest", CPUsMax: config.NoLimit}
+	l.teams["guest"] = &usage{}
 	guest := addTestJob(l, "run-000001", func(j *protocol.Job) { j.Team = "guest" })
 	other := addTestJob(l, "run-000002", func(*protocol.Job) {})
 	dear := offer{spec: n.types["small"], zone: "a"} // twice the price of a spot machine
