--- a/internal/coordination/faults.go
+++ b/internal/coordination/faults.go
@@ -12,9 +12,11 @@
 // cost it, and each new leader returned some.
 
 const (
-	// provenAfter is how long tasks of a job must run, and none break off, for the job
-	// to be taken for one that works.
-	provenAfter = 3 * time.Second
+	// provenAfter is how long tasks of a job must run for the job to be taken for one
+	// that works, and unbrokenAfter how long none may have broken off meanwhile. A
+	// service is never done, and a faulty machine may have ended one of its replicas.
+	provenAfter   = 3 * time.Second
+	unbrokenAfter = 30 * time.Second
 	// Failures without a success in between, and machines that saw them, that make a
 	// job suspect.
 	suspectErrors   = 4
@@ -28,7 +30,8 @@
 
 // proven reports whether a job is known to work on some machine.
 func (j *job) proven(now time.Time) bool {
-	return j.doneCount > 0 || !j.brokeOff && j.running > 0 && now.Sub(j.runsSince) >= provenAfter
+	return j.doneCount > 0 || j.running > 0 && now.Sub(j.runsSince) >= provenAfter &&
+		(j.brokeAt.IsZero() || now.Sub(j.brokeAt) >= unbrokenAfter)
 }
 
 // suspect reports whether a job seems to fail everywhere. All of its tasks at once,
@@ -48,10 +51,15 @@
 // failed notes an attempt that ended in an error.
 func (l *lead) failed(m *machine, a *attempt) {
 	j, n := a.job, l.n
+	if j.proven(n.now) {
+		j.errors, j.trials = 0, 0
+	}
 	before := l.suspect(j)
 	j.errors++
 	j.failedOn[m.name] = struct{}{}
-	j.brokeOff = j.brokeOff || a.state == protocol.Running
+	if a.state == protocol.Running {
+		j.brokeAt = n.now
+	}
 	m.failures[j.ID]++
 	n.log.Debug("task failed", "job", j.ID, "task", a.task, "machine", m.name, "failures", j.errors)
 	pause := time.Duration(0)
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -93,7 +93,7 @@
 	within    bool      // its team's guarantee when it came
 	errors    int       // since the last success
 	trials    int       // of them, single tasks tried since the job became suspect
-	brokeOff  bool      // a task failed after it had run
+	brokeAt   time.Time // when a task last failed after it had run
 	runsSince time.Time // when the first of the tasks that run began
 	failedOn  map[string]struct{}
 	notBefore time.Time
--- a/internal/coordination/operations_test.go
+++ b/internal/coordination/operations_test.go
@@ -112,6 +112,42 @@
 	}
 }
 
+// Replicas that faulty machines ended are started again although others of their job
+// run: a service is never done, and what failed in its long life doesn't add up.
+func TestServiceIsNoTrial(t *testing.T) {
+	n, l := leading(active)
+	n.teams["red"].CPUsMax = 100
+	l.teams["red"] = &usage{}
+	for i := range 8 {
+		addTestMachine(l, fmt.Sprintf("vm-%d", i), true)
+	}
+	j := addTestJob(l, "run-000001", func(j *protocol.Job) { j.Kind, j.Tasks = protocol.Service, 6 })
+	l.place()
+	for range 5 {
+		for _, m := range l.fleetList[:3] {
+			for _, a := range m.sorted() {
+				a.recorded = true
+				l.setState(a, protocol.Running)
+				l.failed(m, a)
+				l.detach(a, "test")
+			}
+		}
+		for _, m := range l.fleetList[3:] {
+			for _, a := range m.sorted() {
+				l.setState(a, protocol.Running)
+			}
+		}
+		n.now = n.now.Add(unbrokenAfter + time.Second)
+		for _, m := range l.fleetList {
+			m.heard = n.now
+		}
+		l.place()
+		if j.live != j.Tasks {
+			t.Fatalf("%d of %d replicas placed after failures on three machines", j.live, j.Tasks)
+		}
+	}
+}
+
 // Boots that are late are replaced once; when most are, only a part is, and none is
 // given up soon. A new leader doesn't judge machines that may have been up for long.
 func TestLateBoots(t *testing.T) {
