--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -86,12 +86,15 @@
 	}
 	var silent, ask []*machine
 	zones := map[string]*reach{}
-	lost, known, inherited, heard := 0, 0, 0, 0
+	lost, known, inherited, heard, mute := 0, 0, 0, 0, 0
 	for _, m := range l.fleetList {
 		if m.inherited && (m.up || len(m.attempts) > 0) { // others may be booting yet
 			inherited++
-			if m.up {
+			switch {
+			case m.up:
 				heard++
+			case m.probeFails >= 3:
+				mute++
 			}
 		}
 		since := m.heard
@@ -149,7 +152,10 @@
 	}
 	// Nor is it the one to lead if it never heard most of those that the leader before
 	// knew, while another node hasn't tried.
-	if inherited > 2 && heard*3 < inherited && n.now.Sub(l.loadedAt) > l.unheardAfter() && n.resignUnfit("few machines are heard") {
+	// Those that don't answer calls either needn't be waited for: with two nodes in a row
+	// that were cut off from the workers, all leases were over before the third led.
+	unheard := inherited > 2 && heard*3 < inherited
+	if unheard && (mute*3 > inherited*2 || n.now.Sub(l.loadedAt) > l.unheardAfter()) && n.resignUnfit("few machines are heard") {
 		return
 	}
 	h := l.newHolds()
--- a/internal/coordination/unfit_test.go
+++ b/internal/coordination/unfit_test.go
@@ -99,3 +99,41 @@
 		}
 	}
 }
+
+// A leader whose calls to nearly all workers fail doesn't wait for their reports before it
+// gives way: with two such nodes in a row the workers' leases were over.
+func TestLeaderThatReachesNobodyGivesWaySoon(t *testing.T) {
+	n, l := leading(settling)
+	n.cfg.Peers = []config.Peer{{Name: "n1", Zone: "b"}}
+	n.peers["n1"] = &peerView{at: n.now, storeOK: true}
+	n.teams["red"].CPUsMax = 100
+	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: &protocol.Job{ID: "run-000001", Class: "c",
+		Team: "red", Kind: protocol.Batch, Priority: protocol.Standard, Tasks: 20, CPUs: 2, MemGB: 1, Image: "a", ImageGB: 1}})
+	j := l.order[0]
+	for i := range 10 {
+		m := l.newMachine(fmt.Sprintf("vm-%02d", i), "small", "a", false)
+		m.inherited, m.recorded, m.addr = true, true, "x"
+		l.attach(&attempt{job: j, task: i, number: 1, machine: m, recorded: true, inherited: true, since: n.now})
+	}
+	l.phase, l.loadedAt, l.settled = active, n.now, n.now
+	begin := n.now
+	n.take()
+	for n.lead == l && n.now.Sub(begin) < 15*time.Second {
+		n.now = n.now.Add(watchInterval)
+		n.peers["n1"].at = n.now
+		l.watchMachines()
+		for _, c := range n.take().Calls {
+			if c.To == Worker {
+				n.Result(n.now, c.ID, Outcome{})
+			}
+		}
+	}
+	if took := n.now.Sub(begin); took > 5*time.Second {
+		t.Errorf("it gave way after %s", took)
+	}
+	for _, m := range l.fleetList {
+		if m.releasing {
+			t.Errorf("%s was given up before", m.name)
+		}
+	}
+}
