--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -102,6 +102,33 @@
 	}
 }
 
+// BenchmarkReportOfExits takes a report of 200 small tasks that are done, whose array has
+// thousands more.
+func BenchmarkReportOfExits(b *testing.B) {
+	const exits = 200
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		n, l := largeLead(0)
+		spec := benchJob(2)
+		spec.Tasks, spec.CPUs, spec.MemGB = 15000, 0.05, 0.05
+		l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: spec})
+		m, j := l.fleetList[0], l.order[0]
+		r := &protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: l.token()}
+		for i := range exits {
+			l.assign(j, i, m)
+			a := j.task(i).live
+			a.recorded, a.seen = true, true
+			l.setState(a, protocol.Running)
+			r.Tasks = append(r.Tasks, protocol.TaskReport{Job: j.ID, Index: i, Attempt: 1, State: protocol.Exited, Why: protocol.ExitDone})
+		}
+		body := protocol.EncodeReport(r)
+		n.take()
+		b.StartTimer()
+		n.Request(n.now, 1, "POST", protocol.PathReport, body)
+	}
+}
+
 func BenchmarkFleetStep(b *testing.B) {
 	_, l := largeLead(benchJobs)
 	fill(l)
@@ -147,7 +174,7 @@
 				n.Result(n.now, c.ID, Outcome{Answered: true, Status: 200, Body: committed})
 			}
 		}
-		e := n.Tick(n.now.Add(20 * time.Millisecond))
+		e := n.Tick(n.now.Add(2 * n.checkPause()))
 		for _, c := range e.Calls {
 			n.Result(n.now, c.ID, Outcome{Answered: true, Status: 200, Body: committed})
 		}
