--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -42,6 +42,9 @@
 			continue
 		}
 		room = true
+		if m.emptying && j.Checkpoint > 0 && l.tooDear(j, offer{spec: m.spec, zone: m.zone, spot: m.spot}) {
+			continue // it would soon have to leave again
+		}
 		if !l.avoids(j, m) {
 			l.ranked = append(l.ranked, l.rate(m, j, int32(i)))
 		}
--- a/internal/coordination/operations_test.go
+++ b/internal/coordination/operations_test.go
@@ -314,6 +314,46 @@
 	}
 }
 
+// Guests' work that saves leaves a dear machine that is to be returned once nothing else is
+// on it, and isn't placed there again; other teams' work stays to its end.
+func TestGuestsLeaveDearMachines(t *testing.T) {
+	for _, c := range []struct {
+		team   string
+		spot   bool
+		leaves bool
+	}{{"guest", false, true}, {"guest", true, false}, {"red", false, false}} {
+		n, l := leading(active)
+		n.teams["red"].CPUsMax = 100
+		n.teams["guest"] = &config.Team{Name: "guest", CPUsMax: config.NoLimit}
+		l.teams["guest"], l.teams["red"] = &usage{}, &usage{}
+		m := l.newMachine("vm-1", "small", "a", c.spot)
+		m.up, m.recorded, m.heard, m.reached, m.session, m.addr = true, true, n.now, n.now, 1, "x"
+		j := addTestJob(l, "run-000001", func(j *protocol.Job) {
+			j.Team, j.Tasks, j.Checkpoint, j.Save = c.team, 1, 30*time.Second, 3*time.Second
+		})
+		l.place()
+		if len(m.list) != 1 {
+			t.Fatalf("%+v: not placed", c)
+		}
+		a := m.list[0]
+		a.recorded, a.seen = true, true
+		l.setState(a, protocol.Running)
+		n.now = n.now.Add(guestsStay + time.Second)
+		m.heard, m.emptying = n.now, true
+		l.shrink()
+		if a.stop != c.leaves {
+			t.Errorf("%+v: told to stop %t", c, a.stop)
+		}
+		if c.leaves {
+			l.detach(a, "test")
+			l.place()
+			if j.live != 0 {
+				t.Errorf("%+v: placed there again", c)
+			}
+		}
+	}
+}
+
 // Why work waits is told at level info: when it changes and from time to time, and no
 // more often.
 func TestWaitsAreTold(t *testing.T) {
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -39,6 +39,7 @@
 			l.release(m, "taken")
 		case m.emptying && len(m.attempts) == 0 && age > minimumCharge && n.now.Sub(m.emptySince) > n.op.Idle():
 			l.release(m, "not needed")
+		case m.emptying && l.sendGuestsOff(m):
 		case m.emptying && m.onlyServices() && !l.canMove(m, map[*machine]room{}):
 			m.emptying = false // it stays for its replicas, so others may use it, too
 		case m.up && m.recorded && m.spec != nil && !m.draining && !m.emptying && m.noticeAt.IsZero():
@@ -68,6 +69,28 @@
 	}
 }
 
+// guestsStay is how long a guest's task runs before it has to leave a dear machine.
+const guestsStay = 40 * time.Second
+
+// sendGuestsOff stops work of teams without a guarantee that saves, where it alone keeps a
+// dear machine from being returned, and reports whether it did. Tasks of minutes that had
+// found idle room held a fleet's ordinary machines long after the others' work was done.
+func (l *lead) sendGuestsOff(m *machine) bool {
+	if len(m.list) == 0 {
+		return false
+	}
+	for _, a := range m.list {
+		if a.stop || a.job.Checkpoint == 0 || a.state != protocol.Running || l.n.now.Sub(a.since) < guestsStay ||
+			!l.tooDear(a.job, offer{spec: m.spec, zone: m.zone, spot: m.spot}) {
+			return false
+		}
+	}
+	for _, a := range m.sorted() {
+		l.stopAttempt(a, l.saveGrace(a))
+	}
+	return true
+}
+
 // fixedNeed is the room kept on ordinary machines for the next service.
 func (l *lead) fixedNeed() float64 {
 	if l.quickStarts() {
