--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -27,7 +27,7 @@
 		Boot: 10 * time.Second, Zones: []string{"a"}}})
 	for i := range benchMachines {
 		m := l.newMachine(fmt.Sprintf("vm-%06d", i), "small", "a", false)
-		m.up, m.recorded, m.heard, m.reached, m.session, m.addr = true, true, n.now, n.now, 1, "x"
+		m.up, m.recorded, m.heard, m.answered, m.reached, m.session, m.addr = true, true, n.now, n.now, n.now, 1, "x"
 	}
 	for i := range jobs {
 		l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: benchJob(i)})
--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -7,10 +7,11 @@
 )
 
 // open reports whether a machine takes new tasks: it has reported to this
-// leader and been reached by it, is not on its way out, and isn't silent.
+// leader and been reached by it, is not on its way out, and isn't silent. One whose reports don't come
+// while it answers calls loses all that runs there once its lease is over.
 func (l *lead) open(m *machine) bool {
 	return m.up && !m.reached.IsZero() && m.recorded && m.spec != nil && !m.draining && !m.releasing && m.noticeAt.IsZero() && m.probeFails == 0 &&
-		l.n.now.Sub(m.heard) <= l.suspectAfter()
+		l.n.now.Sub(m.heard) <= l.suspectAfter() && l.unreported(m) <= l.suspectAfter()+lostReport
 }
 
 // candidate is a machine with room for a task and what ranks it.
--- a/internal/coordination/hold_test.go
+++ b/internal/coordination/hold_test.go
@@ -34,7 +34,7 @@
 			n.now = n.now.Add(watchInterval)
 			for i, m := range l.fleetList {
 				if i >= len(cut) {
-					m.heard, m.reached = n.now, n.now
+					m.heard, m.answered, m.reached = n.now, n.now, n.now
 				}
 			}
 			l.watchMachines()
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -91,7 +91,7 @@
 	var list []*machine
 	for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
 		m := l.newMachine(name, "small", "a", false)
-		m.up, m.recorded, m.heard, m.reached = true, true, l.n.now, l.n.now
+		m.up, m.recorded, m.heard, m.answered, m.reached = true, true, l.n.now, l.n.now, l.n.now
 		list = append(list, m)
 	}
 	list[0].cpus, list[1].cpus, list[2].cpus = 2, 0, 1
@@ -276,3 +276,34 @@
 		t.Error("eight of ten were heard")
 	}
 }
+
+// A machine whose worker can't reach any controller answers calls all the same. Nothing
+// new starts there, since its lease isn't renewed, and it is given up once that has
+// lasted for two leases.
+func TestMuteMachine(t *testing.T) {
+	n, l := leading(active)
+	n.Request(n.now, 1, "POST", protocol.PathReport, report(4))
+	m := l.machines["vm-1"]
+	m.recorded, m.spec = true, n.types["small"]
+	begin := n.now
+	l.watchMachines()
+	for seq := uint64(5); n.now.Sub(begin) <= 2*n.cfg.WorkerLease; seq++ {
+		n.now = n.now.Add(time.Second)
+		r, err := protocol.ParseReport(report(seq))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.takeReport(m, r, false) // an answer to a call
+		l.watchMachines()
+		if open := l.open(m); open != (n.now.Sub(begin) <= l.suspectAfter()+lostReport) {
+			t.Fatalf("open %t after %s without a report", open, n.now.Sub(begin))
+		}
+		if m.releasing && n.now.Sub(begin) <= 2*n.cfg.WorkerLease {
+			t.Fatalf("given up after %s", n.now.Sub(begin))
+		}
+	}
+	l.watchMachines()
+	if !m.releasing {
+		t.Error("not given up after two leases")
+	}
+}
--- a/internal/coordination/operations_test.go
+++ b/internal/coordination/operations_test.go
@@ -28,7 +28,7 @@
 func addTestMachine(l *lead, name string, up bool) *machine {
 	m := l.newMachine(name, "small", "a", true)
 	if up {
-		m.up, m.recorded, m.heard, m.reached, m.session, m.addr = true, true, l.n.now, l.n.now, 1, "x"
+		m.up, m.recorded, m.heard, m.answered, m.reached, m.session, m.addr = true, true, l.n.now, l.n.now, l.n.now, 1, "x"
 	}
 	return m
 }
@@ -83,7 +83,7 @@
 	for range 12 {
 		n.now = j.notBefore
 		for _, m := range l.fleetList {
-			m.heard = n.now
+			m.heard, m.answered = n.now, n.now
 		}
 		l.place()
 		if j.live != 1 {
@@ -101,7 +101,7 @@
 	}
 	n.now = j.notBefore
 	for _, m := range l.fleetList {
-		m.heard = n.now
+		m.heard, m.answered = n.now, n.now
 	}
 	l.place()
 	l.runs(j)
@@ -139,7 +139,7 @@
 		}
 		n.now = n.now.Add(unbrokenAfter + time.Second)
 		for _, m := range l.fleetList {
-			m.heard = n.now
+			m.heard, m.answered = n.now, n.now
 		}
 		l.place()
 		if j.live != j.Tasks {
@@ -327,7 +327,7 @@
 		n.teams["guest"] = &config.Team{Name: "guest", CPUsMax: config.NoLimit}
 		l.teams["guest"], l.teams["red"] = &usage{}, &usage{}
 		m := l.newMachine("vm-1", "small", "a", c.spot)
-		m.up, m.recorded, m.heard, m.reached, m.session, m.addr = true, true, n.now, n.now, 1, "x"
+		m.up, m.recorded, m.heard, m.answered, m.reached, m.session, m.addr = true, true, n.now, n.now, n.now, 1, "x"
 		j := addTestJob(l, "run-000001", func(j *protocol.Job) {
 			j.Team, j.Tasks, j.Checkpoint, j.Save = c.team, 1, 30*time.Second, 3*time.Second
 		})
@@ -339,7 +339,7 @@
 		a.recorded, a.seen = true, true
 		l.setState(a, protocol.Running)
 		n.now = n.now.Add(guestsStay + time.Second)
-		m.heard, m.emptying = n.now, true
+		m.heard, m.answered, m.emptying = n.now, n.now, true
 		l.shrink()
 		if a.stop != c.leaves {
 			t.Errorf("%+v: told to stop %t", c, a.stop)
--- a/internal/coordination/overload_test.go
+++ b/internal/coordination/overload_test.go
@@ -128,7 +128,7 @@
 	for _, when := range []time.Duration{0, 3 * time.Second, time.Second, time.Second} { // patience passes
 		n.now = n.now.Add(when)
 		for _, m := range l.fleetList {
-			m.heard = n.now
+			m.heard, m.answered = n.now, n.now
 		}
 		l.place()
 		if l.work > 2*roundWork {
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -45,6 +45,19 @@
 // between reports, and a report or two that were lost on nodes that are gone.
 func (l *lead) unheardAfter() time.Duration { return l.n.cfg.ReportInterval*5/4 + 6*time.Second }
 
+// lostReport is what a report costs that gets no answer: the worker waits for it and tries
+// the next controller.
+const lostReport = 5 * time.Second
+
+// unreported is how long no report of a machine has been answered, although it may answer
+// calls: its worker can't reach any controller.
+func (l *lead) unreported(m *machine) time.Duration {
+	if !m.up {
+		return 0
+	}
+	return l.n.now.Sub(latest(m.answered, m.firstHeard, l.deaf))
+}
+
 const (
 	watchInterval = 250 * time.Millisecond
 	// Probes sent at a time: a part of the fleet, so that a new leader has asked all
@@ -136,7 +149,8 @@
 		if d > probeAfter || m.up && m.reached.IsZero() || out > l.reachAfter() || m.probeFails > 0 {
 			ask = append(ask, m)
 		}
-		if d > l.releaseAfter() || d > giveUpAfter && m.probeFails >= 3 || out > l.deafAfter() && m.probeFails >= 4 {
+		if d > l.releaseAfter() || d > giveUpAfter && m.probeFails >= 3 || out > l.deafAfter() && m.probeFails >= 4 ||
+			l.unreported(m) > 2*n.cfg.WorkerLease {
 			silent = append(silent, m)
 		}
 	}
