--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -75,6 +75,15 @@
 	copies   bool // direct orders that were carried out arrive once more, later
 	// Reports arrive once more, after up to this long.
 	reportCopies time.Duration
+	// Copies of that share of the reports are kept and reach every controller as
+	// the next leader begins.
+	keepShare  float64
+	kept       map[string][][]byte // by machine
+	endShare   float64             // of the jobs that end is cancelled at that moment
+	closeLooks bool                // users ask all nodes right after each change
+	odd        int                 // odd requests sent, to name the next ones
+	hooks      []*hook
+	calm       time.Time // since when there is no trouble; zero while there is
 }
 
 // node is one controller's host.
@@ -114,7 +123,7 @@
 func New(o Options) *Cluster {
 	begin := time.Date(2026, 9, 21, 12, 0, 0, 0, time.UTC)
 	c := &Cluster{now: begin, begin: begin, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[string]*worker{},
-		jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}}
+		jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}, kept: map[string][][]byte{}}
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
@@ -236,6 +245,16 @@
 	}
 }
 
+// IsolateRefused is Isolate for a node that the state service answers, with a refusal.
+func (c *Cluster) IsolateRefused(n *node) {
+	c.state.refused[n.name] = true
+	for _, p := range c.nodes {
+		if p != n {
+			c.Cut(n.name, p.name, false)
+		}
+	}
+}
+
 // Heal ends every cut; what was held arrives in order.
 func (c *Cluster) Heal() {
 	var list []link
@@ -386,7 +405,8 @@
 			if w == nil {
 				continue
 			}
-			serve := func(respond func(int, []byte)) { w.serve(k.Method, k.Target, k.Body, respond) }
+			sent := c.now
+			serve := func(respond func(int, []byte)) { w.serve(k.Method, k.Target, k.Body, sent, respond) }
 			c.request(n.name, w.name, serve, done)
 			if c.copies && k.Method == "POST" {
 				// The same packets once more, half a minute late.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -26,6 +26,9 @@
 	// all of them, or lateShare.
 	late, lateMore time.Duration
 	lateShare      float64
+	lostShare      float64       // of transactions is applied at once, and its answer lost
+	slow           time.Duration // up to this long a share of the requests takes
+	slowShare      float64
 
 	requests, changes *bookkeeping.Budget // what the settings allow a second
 	changed, limited  int                 // changes made, and requests refused for their number
@@ -179,6 +182,19 @@
 }
 
 func (s *stateService) serve(from, method, target string, body []byte, respond func(int, []byte)) {
+	if s.slowShare > 0 && s.c.rng.Float64() < s.slowShare {
+		wait := time.Duration(s.c.rng.Int64N(int64(s.slow)))
+		if s.c.rng.IntN(2) == 0 { // it is carried out late, or at once and answered late
+			s.c.after(wait, func() { s.handle(from, method, target, body, respond) })
+			return
+		}
+		answer := respond
+		respond = func(status int, body []byte) { s.c.after(wait, func() { answer(status, body) }) }
+	}
+	s.handle(from, method, target, body, respond)
+}
+
+func (s *stateService) handle(from, method, target string, body []byte, respond func(int, []byte)) {
 	if s.outage || s.refused[from] {
 		respond(503, nil)
 		return
@@ -210,6 +226,10 @@
 			s.c.after(late, func() { s.commit(t, func(int, []byte) {}) })
 			return
 		}
+		if s.lostShare > 0 && len(t.Then) > 0 && s.c.rng.Float64() < s.lostShare {
+			s.c.around(onLostAnswer, nil, func() { s.commit(t, func(int, []byte) {}) })
+			return
+		}
 		s.commit(t, respond)
 	case path == protocol.PathKeys:
 		prefix, after, limit, _ := protocol.RangeQuery(query)
@@ -302,6 +322,16 @@
 		respond(409, protocol.EncodeFailed(failed, s.revision))
 		return
 	}
+	var written []string
+	begins := false
+	for _, op := range t.Then {
+		written = append(written, op.Put+op.Delete)
+		begins = begins || op.Put == bookkeeping.KeyLeader
+	}
+	s.c.strike(onWrite, written, true)
+	if begins {
+		s.c.strike(onLeader, nil, true)
+	}
 	if len(t.Then) > 0 {
 		s.revision++
 		for _, op := range t.Then {
@@ -314,4 +344,9 @@
 	}
 	respond(200, protocol.EncodeRevision(s.revision))
 	s.notify()
+	s.c.strike(onWrite, written, false)
+	if begins {
+		s.c.strike(onLeader, nil, false)
+		s.c.deliverKept()
+	}
 }
--- /dev/null
+++ b/internal/standin/troubles.go
@@ -0,0 +1,250 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// insist repeats a request of a user's every second, at any node, until it is
+// answered for good or a minute is over.
+func (c *Cluster) insist(send func(node int, done func(status int, state string))) {
+	end := c.now.Add(time.Minute)
+	var try func()
+	try = func() {
+		send(c.rng.IntN(len(c.nodes)), func(status int, _ string) {
+			switch status {
+			case 200, 201, 400, 404, 422:
+			default:
+				if c.now.Before(end) {
+					c.after(time.Second, try)
+				}
+			}
+		})
+	}
+	try()
+}
+
+func (c *Cluster) insistCancel(id string) {
+	c.insist(func(node int, done func(int, string)) { c.CancelJob(node, id, done) })
+}
+
+// ids are the jobs that a condition holds for, in order.
+func (c *Cluster) ids(holds func(*userJob) bool) []string {
+	var list []string
+	for id, j := range c.jobs {
+		if holds(j) {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// longToGo is how long a task has to run on for its job to count as one with long to go.
+const longToGo = 10 * time.Second
+
+// CancelNow lets users cancel jobs that run and have long to go, within a fifth of a
+// second. Up to eight of their machines hang meanwhile; 0 for none.
+func (c *Cluster) CancelNow(count int, hang time.Duration) {
+	ids := c.ids(func(j *userJob) bool {
+		if !j.accepted || j.asked {
+			return false
+		}
+		for task, on := range j.on {
+			for w := range on {
+				if t := w.task(j, task); t != nil && (j.spec.Kind == protocol.Service || j.run-j.progress[task]-c.now.Sub(t.began) > longToGo) {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	c.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	ids = ids[:min(count, len(ids))]
+	var hung []*worker
+	for _, id := range ids {
+		c.after(time.Duration(c.rng.Int64N(int64(200*time.Millisecond))), func() { c.insistCancel(id) })
+		for _, w := range c.machinesOf(id) {
+			if hang > 0 && len(hung) < 8 && !w.hung {
+				hung = append(hung, w)
+				w.hang(true)
+			}
+		}
+	}
+	c.after(hang, func() {
+		for _, w := range hung {
+			if !w.dead {
+				w.hang(false)
+			}
+		}
+	})
+}
+
+// machinesOf are those that a job's tasks are on, in order.
+func (c *Cluster) machinesOf(id string) []*worker {
+	var list []*worker
+	for _, on := range c.jobs[id].on {
+		for w := range on {
+			if !slices.Contains(list, w) {
+				list = append(list, w)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b *worker) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// jobEnds lets a share of the jobs that end be cancelled at that very moment: as the
+// last task completes, or right before or after the final state is written.
+func (c *Cluster) jobEnds(j *userJob) {
+	c.around(onDone, []string{j.spec.ID}, func() {})
+	if c.endShare > 0 && c.rng.Float64() < c.endShare {
+		cancel := func() { c.insistCancel(j.spec.ID) }
+		switch c.rng.IntN(3) {
+		case 0:
+			cancel()
+		case 1:
+			c.when(onWrite, bookkeeping.KeyOutcome(j.spec.ID), true, cancel)
+		case 2:
+			c.when(onWrite, bookkeeping.KeyOutcome(j.spec.ID), false, cancel)
+		}
+	}
+	c.lookClosely(j)
+}
+
+// lookClosely lets users ask all nodes about a job within milliseconds, and submit it
+// again.
+func (c *Cluster) lookClosely(j *userJob) {
+	if !c.closeLooks {
+		return
+	}
+	for range 3 {
+		for i, n := range c.nodes {
+			if n.core != nil {
+				c.after(time.Duration(c.rng.Int64N(int64(8*time.Millisecond))), func() { c.Poll(i, j.spec.ID, func(int, string) {}) })
+			}
+		}
+	}
+	c.after(time.Duration(c.rng.Int64N(int64(8*time.Millisecond))), func() { c.Resubmit(c.rng.IntN(len(c.nodes)), j.spec.ID) })
+}
+
+// Resubmit sends a known job once more.
+func (c *Cluster) Resubmit(node int, id string) {
+	j := c.jobs[id]
+	c.Submit(node, j.spec, j.run, j.bad, func(int, string) {})
+}
+
+// OddRequests sends one each of what users send by mistake or once too often: a
+// repeated submission of an unfinished job, cancellations of one that is done and of
+// an unknown one, jobs that can never run, and one that lacks a field.
+func (c *Cluster) OddRequests() {
+	node := func() int { return c.rng.IntN(len(c.nodes)) }
+	pick := func(ids []string, f func(id string)) {
+		if len(ids) > 0 {
+			f(ids[c.rng.IntN(len(ids))])
+		}
+	}
+	pick(c.ids(func(j *userJob) bool { return j.accepted && j.told == 0 }), func(id string) { c.Resubmit(node(), id) })
+	pick(c.ids(func(j *userJob) bool { return j.told == protocol.Done }), func(id string) {
+		c.CancelJob(node(), id, func(int, string) {})
+	})
+	c.odd++
+	c.CancelJob(node(), fmt.Sprintf("run-%06d", 990000+c.odd), func(int, string) {})
+	odd := func(change func(*protocol.Job)) protocol.Job {
+		c.odd++
+		j := protocol.Job{ID: fmt.Sprintf("run-%06d", 900000+c.odd), Class: "one", Team: "blue", Kind: protocol.Batch,
+			Priority: protocol.Critical, Tasks: 1, CPUs: 1, MemGB: 1, Image: "img-0", ImageGB: 1, Estimate: time.Second}
+		change(&j)
+		return j
+	}
+	ignore := func(int, string) {}
+	for _, change := range []func(*protocol.Job){
+		func(j *protocol.Job) { j.CPUs = 1000 },
+		func(j *protocol.Job) { j.Types = []string{"none"} },
+		func(j *protocol.Job) { j.Team = "nobody" },
+		func(j *protocol.Job) { j.Kind, j.Tasks = protocol.Service, 10000 },
+	} {
+		c.Submit(node(), odd(change), time.Second, false, ignore)
+	}
+	c.submitWithout(node(), odd(func(*protocol.Job) {}), c.rng.IntN(1000))
+}
+
+// submitWithout sends a job that lacks one of its fields; none of those that
+// EncodeJob names may be missing.
+func (c *Cluster) submitWithout(node int, spec protocol.Job, which int) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(protocol.EncodeJob(&spec), &fields); err != nil {
+		panic(err)
+	}
+	var names []string
+	for name, v := range fields {
+		if string(v) != "null" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	missing := names[which%len(names)]
+	delete(fields, missing)
+	c.user(node, "POST", protocol.PathJobs, protocol.Encode(fields), func(status int, _ []byte) {
+		switch status {
+		case 400, 429, 503, 504, 0:
+		default:
+			c.breaks("accepted_invalid", "a job without %s gets %d", missing, status)
+		}
+	})
+}
+
+// canRun reports whether a job can ever run here, as the submission rules have it.
+func (c *Cluster) canRun(j *protocol.Job) bool {
+	fits := slices.ContainsFunc(c.cloud.types, func(t protocol.MachineType) bool { return j.AllowsType(t.Name) && t.Fits(j) })
+	at := 1.0
+	if j.Kind == protocol.Service {
+		at = float64(j.Tasks)
+	}
+	for _, team := range c.settings.Teams {
+		if team.Name == j.Team {
+			return fits && at*j.CPUs <= team.CPUsMax+protocol.Epsilon && at*j.GPUs <= team.GPUsMax+protocol.Epsilon
+		}
+	}
+	return false
+}
+
+// maxKept bounds the copies of each machine's reports: the oldest are kept, as they
+// are the furthest from what is true.
+const maxKept = 3
+
+func (c *Cluster) keep(w *worker, body []byte) {
+	if c.keepShare > 0 && len(c.kept[w.name]) < maxKept && c.rng.Float64() < c.keepShare {
+		c.kept[w.name] = append(c.kept[w.name], body)
+	}
+}
+
+// deliverKept sends what was kept to every controller, as a leader begins.
+func (c *Cluster) deliverKept() {
+	var names []string
+	for name := range c.kept {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for _, body := range c.kept[name] {
+			for _, n := range c.nodes {
+				// The new leader learns of its election within these milliseconds.
+				c.after(time.Duration(c.rng.Int64N(int64(6*time.Millisecond))), func() {
+					c.send(name, n.name, func() { n.request("POST", protocol.PathReport, body, func(int, []byte) {}) })
+				})
+			}
+		}
+	}
+	clear(c.kept)
+}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -23,7 +23,8 @@
 	submitted time.Time
 	began     time.Time // when its first task ran
 	accepted  bool
-	asked     bool // a cancellation was asked for
+	waits     time.Time // since when it waits beside room, in a calm
+	asked     bool      // a cancellation was asked for
 	cancelled time.Time
 	told      protocol.JobState // a final state told
 	failures  int
@@ -40,13 +41,28 @@
 			on: map[int]map[*worker]bool{}, zones: map[string]int{}, submitted: c.now}
 		c.jobs[spec.ID] = j
 	}
-	told := c.told(spec.ID)
+	told, known := c.told(spec.ID), j.accepted
 	c.user(node, "POST", protocol.PathJobs, protocol.EncodeJob(&spec), func(status int, body []byte) {
 		if status == 200 || status == 201 {
+			if !c.canRun(&spec) {
+				c.breaks("accepted_invalid", "%s can never run and gets %d", spec.ID, status)
+			}
+			if known && status == 201 {
+				c.breaks("went_back", "%s is new once more", spec.ID)
+			}
+			first := !j.accepted
 			j.accepted = true
 			c.tell(j, told, body)
-		} else if j.accepted && (status == 400 || status == 422) {
-			c.breaks("forgotten", "%s is submitted again and gets %d", spec.ID, status)
+			if first {
+				c.lookClosely(j)
+			}
+		} else if status == 400 || status == 422 {
+			switch {
+			case j.accepted:
+				c.breaks("forgotten", "%s is submitted again and gets %d", spec.ID, status)
+			case spec.Tasks <= protocol.MaxTasks && c.canRun(&spec):
+				c.breaks("refused", "%s can run and gets %d", spec.ID, status)
+			}
 		}
 		done(status, stateOf(body))
 	})
@@ -60,13 +76,14 @@
 		j := c.jobs[id]
 		if j != nil && j.accepted && !j.asked {
 			j.answered(c.now, status == 200)
+			c.unanswered(j)
 		}
 		if status == 200 {
-			if j == nil || !j.accepted {
-				if j == nil {
-					c.breaks("invented", "%s was never submitted", id)
-				}
+			if j == nil || !c.canRun(&j.spec) {
+				c.breaks("invented", "%s was never submitted, or can't run", id)
 			} else {
+				// The answer to its submission may have been lost: this one binds, too.
+				j.accepted = true
 				c.tell(j, told, body)
 			}
 			_, s, d, r, err := protocol.ParseJobAnswer(body)
@@ -94,6 +111,14 @@
 	}
 }
 
+// unanswered breaks a rule once no question about a job was answered for too long,
+// with all troubles over.
+func (c *Cluster) unanswered(j *userJob) {
+	if !c.calm.IsZero() && !j.asking.IsZero() && c.now.Sub(j.asking) > forgottenAfter {
+		c.breaks("forgotten", "%s got no answer for %s", j.spec.ID, c.now.Sub(j.asking).Round(time.Second))
+	}
+}
+
 // Storm lets users ask count times in all, over a time, about jobs and from nodes as
 // they come. Nodes that are down aren't asked: the load balancer leaves them out.
 func (c *Cluster) Storm(count int, over time.Duration) {
@@ -129,13 +154,22 @@
 // CancelJob asks a node to cancel a job.
 func (c *Cluster) CancelJob(node int, id string, done func(status int, state string)) {
 	j := c.jobs[id]
-	if j != nil {
+	known, told := j != nil && j.accepted, c.told(id)
+	if j != nil && told != protocol.Done { // one that is done can't be cancelled any more
 		j.asked = true
 	}
-	told := c.told(id)
 	c.user(node, "POST", protocol.PathJobs+"/"+id+"/cancel", nil, func(status int, body []byte) {
-		if status == 200 && j != nil {
+		switch {
+		case status == 200 && j == nil:
+			c.breaks("invented", "%s was never submitted", id)
+		case status == 200:
+			j.accepted = true
 			c.tell(j, told, body)
+			if _, s, _, _, err := protocol.ParseJobAnswer(body); err != nil || !s.Final() {
+				c.breaks("went_back", "%s is cancelled and called %s", id, s)
+			}
+		case status == 404 && known:
+			c.breaks("forgotten", "%s gets 404 for its cancellation", id)
 		}
 		done(status, stateOf(body))
 	})
@@ -187,7 +221,14 @@
 		c.breaks("went_back", "%s is cancelled without its user's word", j.spec.ID)
 	}
 	if s.Final() {
+		if j.told != 0 && j.told != s {
+			c.breaks("went_back", "%s is %s and %s", j.spec.ID, j.told, s)
+		}
+		first := j.told == 0
 		j.told = s
+		if first {
+			c.lookClosely(j)
+		}
 	}
 	if s == protocol.Cancelled && j.cancelled.IsZero() {
 		j.cancelled = c.now
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -18,6 +18,8 @@
 	hung    bool
 	queued  []func() // what arrived while it hung
 	sick    bool
+	wasSick bool // once; the controllers may leave it alone for that
+	mute    bool // its reports reach no controller; it answers direct commands
 	session uint64
 	seq     uint64
 	token   uint64
@@ -174,7 +176,19 @@
 		c.after(2*time.Millisecond, func() { w.run(func() { finish(tryNext) }) })
 		return
 	}
-	serve := func(respond func(int, []byte)) { n.request("POST", protocol.PathReport, body, respond) }
+	if w.mute {
+		return // nobody takes its connections
+	}
+	var replied time.Time // when the controller sent its answer
+	serve := func(respond func(int, []byte)) {
+		c.around(onReport, []string{n.name}, func() {
+			n.request("POST", protocol.PathReport, body, func(status int, body []byte) {
+				replied = c.now
+				respond(status, body)
+			})
+		})
+	}
+	c.keep(w, body)
 	if c.reportCopies > 0 {
 		late := time.Second + time.Duration(c.rng.Int64N(int64(c.reportCopies)))
 		c.after(late, func() { c.send(w.name, n.name, func() { serve(func(int, []byte) {}) }) })
@@ -184,7 +198,7 @@
 			finish(func() {
 				switch status {
 				case 200:
-					w.accept(session, sent, body)
+					w.accept(session, sent, replied, body)
 					w.again()
 				case 421:
 					leader := protocol.ParseRedirect(body)
@@ -214,8 +228,8 @@
 	w.reportIn(d*3/4 + time.Duration(w.c.rng.Int64N(int64(d/2))))
 }
 
-// accept takes the answer to a report.
-func (w *worker) accept(session uint64, sent time.Time, body []byte) {
+// accept takes the answer to a report that was sent and replied to at these times.
+func (w *worker) accept(session uint64, sent, replied time.Time, body []byte) {
 	token, _, orders, err := protocol.ParseOrders(body)
 	if err != nil || token == nil || *token < w.token || session != w.session {
 		return
@@ -226,11 +240,11 @@
 	}
 	w.answered = sent
 	w.armLease()
-	w.execute(orders)
+	w.execute(orders, replied)
 }
 
-// serve answers a controller.
-func (w *worker) serve(method, target string, body []byte, respond func(int, []byte)) {
+// serve answers a controller's request that was sent at a time.
+func (w *worker) serve(method, target string, body []byte, sent time.Time, respond func(int, []byte)) {
 	w.run(func() {
 		if method == "GET" {
 			respond(200, protocol.EncodeReport(w.content()))
@@ -249,11 +263,21 @@
 			w.token = *token
 			w.change()
 		}
-		w.execute(orders)
+		w.execute(orders, sent)
 		respond(200, protocol.EncodeReport(w.content()))
 	})
 }
 
+// task is the attempt at a job's task that runs here, if any.
+func (w *worker) task(j *userJob, index int) *runningTask {
+	for _, t := range w.tasks {
+		if t.job == j.spec.ID && t.index == index && t.state == protocol.Running {
+			return t
+		}
+	}
+	return nil
+}
+
 func (w *worker) find(o protocol.Order) *runningTask {
 	for _, t := range w.tasks {
 		if t.job == o.Job && t.index == o.Index && t.attempt == o.Attempt {
@@ -263,13 +287,14 @@
 	return nil
 }
 
-func (w *worker) execute(orders []protocol.Order) {
+// execute follows orders that a controller sent at a time.
+func (w *worker) execute(orders []protocol.Order, sent time.Time) {
 	for _, o := range orders {
 		t := w.find(o)
 		switch o.Kind {
 		case protocol.Start:
 			if t == nil {
-				w.begin(o)
+				w.begin(o, sent)
 			}
 		case protocol.Stop:
 			if t != nil {
@@ -283,7 +308,11 @@
 	}
 }
 
-func (w *worker) begin(o protocol.Order) {
+// startAfterCancel is how long after a confirmed cancellation a start of the job's
+// tasks may still be sent by a controller that hasn't heard of it.
+const startAfterCancel = 3 * time.Second
+
+func (w *worker) begin(o protocol.Order, sent time.Time) {
 	c := w.c
 	t := &runningTask{job: o.Job, index: o.Index, attempt: o.Attempt, state: protocol.Fetching}
 	w.tasks = append(w.tasks, t)
@@ -292,6 +321,9 @@
 		w.exit(t, protocol.ExitUnknown)
 		return
 	}
+	if !j.cancelled.IsZero() && sent.Sub(j.cancelled) > startAfterCancel {
+		c.breaks("started_cancelled", "%s on %s, sent %s after its user was told", t, w.name, sent.Sub(j.cancelled).Round(time.Millisecond))
+	}
 	cpus, mem := j.spec.CPUs, j.spec.MemGB
 	for _, x := range w.tasks {
 		if x == t || x.state == protocol.Exited {
@@ -324,6 +356,7 @@
 		w.images = append(w.images, j.spec.Image)
 	}
 	w.change()
+	w.wasSick = w.wasSick || w.sick
 	if w.sick || j.bad {
 		j.failures++
 		w.exit(t, protocol.ExitError)
@@ -339,8 +372,12 @@
 		t.timer = w.c.after(max(0, j.run-j.progress[t.index]), func() {
 			w.run(func() {
 				if t.state == protocol.Running {
+					last := len(j.completed) == j.spec.Tasks-1 && !j.completed[t.index]
 					j.completed[t.index] = true
 					w.exit(t, protocol.ExitDone)
+					if last {
+						w.c.jobEnds(j)
+					}
 				}
 			})
 		})
