--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -109,19 +109,13 @@
 	later := func(most int, f func()) {
 		c.after(time.Duration(500+rng.IntN(most*1000))*time.Millisecond, f)
 	}
-	for range 60 {
-		c.Advance(time.Duration(200+rng.IntN(5000)) * time.Millisecond)
-		for range rng.IntN(3) {
-			submit(func(*protocol.Job) {})
-		}
-		if len(accepted) > 0 && rng.IntN(4) == 0 {
-			c.CancelJob(rng.IntN(3), accepted[rng.IntN(len(accepted))], func(int, string) {})
-		}
-		if count > 0 {
-			c.Poll(rng.IntN(3), fmt.Sprintf("run-%06d", 1+rng.IntN(count)), func(int, string) {})
-		}
+	// One trouble, among those that go on.
+	trouble := func() {
 		n := c.nodes[rng.IntN(3)]
-		switch rng.IntN(26) {
+		if i := c.Leader(); i >= 0 && rng.IntN(3) == 0 {
+			n = c.nodes[i]
+		}
+		switch rng.IntN(40) {
 		case 19: // without power for up to more than a minute
 			if n.core != nil {
 				n.crash()
@@ -278,6 +272,126 @@
 				w.sick = true
 				later(20, func() { w.sick = false })
 			}
+		case 26: // the state service carries out, and its answer is lost
+			c.state.lostShare = 0.05 + rng.Float64()/2
+			later(20, func() { c.state.lostShare = 0 })
+		case 27: // copies of reports reach the next leader as it begins
+			c.keepShare = rng.Float64()
+			later(60, func() { c.keepShare = 0 })
+		case 28: // the machines reach no controller
+			for _, h := range hosts() {
+				h.worker.mute = true
+				later(40, func() { h.worker.mute = false })
+			}
+		case 29:
+			c.IsolateRefused(n)
+			later(30, func() { delete(c.state.refused, n.name); c.Heal() })
+		case 30:
+			c.CancelNow(1+rng.IntN(8), time.Duration(rng.IntN(2)*rng.IntN(25000))*time.Millisecond)
+		case 31:
+			c.endShare = rng.Float64()
+			later(25, func() { c.endShare = 0 })
+		case 32:
+			for i := range 6 {
+				c.after(time.Duration(i)*700*time.Millisecond, c.OddRequests)
+			}
+		case 33:
+			c.closeLooks = true
+			later(25, func() { c.closeLooks = false })
+		case 34:
+			c.state.slow, c.state.slowShare = time.Duration(200+rng.IntN(4000))*time.Millisecond, 0.05+rng.Float64()/2
+			later(25, func() { c.state.slowShare = 0 })
+		case 35: // one-task jobs four a second, a quarter of them cancelled
+			for i := range 80 {
+				c.after(time.Duration(i)*250*time.Millisecond, func() {
+					submit(func(j *protocol.Job) { j.Kind, j.Tasks, j.Spread, j.CPUs = protocol.Batch, 1, false, 0.25 })
+					if id := fmt.Sprintf("run-%06d", count); rng.IntN(4) == 0 {
+						later(20, func() { c.insistCancel(id) })
+					}
+				})
+			}
+		case 36:
+			c.ChangeLeaders(2+rng.IntN(4), time.Duration(3+rng.IntN(10))*time.Second, time.Duration(100+rng.IntN(5000))*time.Millisecond)
+		case 37: // something happens to the leader right before or after a moment
+			what := []string{"b/q/", "b/f/", "c/", "e/leader", "m/"}[rng.IntN(5)]
+			moment := []moment{onWrite, onWrite, onReport, onLostAnswer, onLeader, onDone}[rng.IntN(6)]
+			if moment != onWrite {
+				what = ""
+			}
+			k := rng.IntN(5)
+			c.when(moment, what, rng.IntN(2) == 0, func() {
+				i := c.Leader()
+				if i < 0 {
+					return
+				}
+				n := c.nodes[i]
+				switch k {
+				case 0:
+					n.crash()
+					later(6, func() {
+						if n.core == nil {
+							n.start()
+						}
+					})
+				case 1:
+					n.freeze()
+					later(20, n.thaw)
+				case 2:
+					c.IsolateRefused(n)
+					later(20, func() { delete(c.state.refused, n.name); c.Heal() })
+				case 3:
+					c.Isolate(n)
+					later(20, c.Heal)
+				case 4:
+					c.CancelNow(3, 0)
+				}
+			})
+		case 38: // a zone, cut off from all others, the regional services included
+			zone := zones[rng.IntN(len(zones))]
+			hold := rng.IntN(2) == 0
+			var inside, outside []string
+			for _, p := range c.nodes {
+				if p.zone == zone {
+					inside = append(inside, p.name)
+				} else {
+					outside = append(outside, p.name)
+				}
+			}
+			for _, h := range c.cloud.hosts {
+				if h.zone == zone {
+					inside = append(inside, h.name)
+				}
+			}
+			for _, a := range inside {
+				for _, b := range append(outside, "state", "cloud", "users") {
+					c.Cut(a, b, hold)
+				}
+			}
+			later(40, c.Heal)
+		case 39: // nobody is there for up to more than a lease
+			for _, p := range c.nodes {
+				p.crash()
+				later(40, func() {
+					if p.core == nil {
+						p.start()
+					}
+				})
+			}
+		}
+	}
+	for range 60 {
+		c.Advance(time.Duration(200+rng.IntN(5000)) * time.Millisecond)
+		for range rng.IntN(3) {
+			submit(func(*protocol.Job) {})
+		}
+		if len(accepted) > 0 && rng.IntN(4) == 0 {
+			c.CancelJob(rng.IntN(3), accepted[rng.IntN(len(accepted))], func(int, string) {})
+		}
+		if count > 0 {
+			c.Poll(rng.IntN(3), fmt.Sprintf("run-%06d", 1+rng.IntN(count)), func(int, string) {})
+		}
+		for range []int{1, 1, 1, 2, 2, 3}[rng.IntN(6)] {
+			trouble()
 		}
 	}
 	// Everything heals, and services are cancelled.
@@ -287,6 +401,12 @@
 	clear(c.state.refused)
 	c.state.late, c.state.lateShare, c.cloud.late, c.cloud.outage, c.reportCopies = 0, 0, 0, false, 0
 	c.cloud.factor, c.cloud.dead, c.cloud.answers = 0, 0, 0
+	c.state.lostShare, c.state.slowShare, c.keepShare, c.endShare, c.closeLooks, c.hooks = 0, 0, 0, 0, false, nil
+	for _, h := range c.cloud.hosts {
+		if h.worker != nil {
+			h.worker.mute = false
+		}
+	}
 	for _, n := range c.nodes {
 		n.thaw()
 		if n.core == nil {
@@ -309,6 +429,7 @@
 			})
 		}
 	}
+	c.Calm()
 	c.Advance(10 * time.Minute)
 	for _, s := range c.Starved() {
 		if !strings.Contains(s, "waited") { // in minutes of trouble any may wait
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -27,6 +27,9 @@
 type runner struct {
 	t *testing.T
 	c *Cluster
+	// Within a moment no time may pass: what is asked then is answered later.
+	inMoment bool
+	heard    []string
 }
 
 func (r *runner) run(t *testing.T, d *datadriven.TestData) string {
@@ -121,11 +124,59 @@
 	return nil
 }
 
-// await lets time pass until something has come of a request.
-func (r *runner) await(done *bool) {
-	for i := 0; !*done && i < 6000; i++ {
+// ask sends a request and lets time pass until something has come of it. In a moment
+// the answer is kept for the command "heard" instead.
+func (r *runner) ask(d *datadriven.TestData, send func(done func(out string))) string {
+	if r.inMoment {
+		send(func(out string) {
+			r.heard = append(r.heard, strings.TrimSpace(d.Cmd+" "+d.CmdArgs[0].Key)+": "+strings.TrimSpace(out))
+		})
+		return ""
+	}
+	var out string
+	done := false
+	send(func(o string) { out, done = strings.TrimSpace(o), true })
+	for i := 0; !done && i < 6000; i++ {
 		r.c.Advance(time.Millisecond)
 	}
+	return out
+}
+
+// moments are the names of those that "when" knows.
+var moments = map[string]moment{"write": onWrite, "answer-lost": onLostAnswer, "leader": onLeader, "report": onReport, "done": onDone}
+
+// when before|after MOMENT [WHAT], with commands as input, one a line: they run once,
+// right before or after it. MOMENT is write KEYPREFIX, answer-lost, leader,
+// report NODE or done JOB.
+func (r *runner) when(t *testing.T, d *datadriven.TestData) string {
+	if len(d.CmdArgs) < 2 || moments[d.CmdArgs[1].Key] == 0 || d.CmdArgs[0].Key != "before" && d.CmdArgs[0].Key != "after" {
+		d.Fatalf(t, "when needs before or after, and a moment")
+	}
+	m, what := moments[d.CmdArgs[1].Key], ""
+	if len(d.CmdArgs) > 2 {
+		what = d.CmdArgs[2].Key
+	}
+	if m == onReport && what != "" {
+		what = r.c.nodes[r.node(t, d, what)].name
+	}
+	var commands []*datadriven.TestData
+	for line := range strings.Lines(d.Input) {
+		cmd, args, err := datadriven.ParseLine(line)
+		if err != nil || cmd == "" || cmd == "advance" || cmd == "unanswered" {
+			d.Fatalf(t, "%q can't run in a moment", line)
+		}
+		commands = append(commands, &datadriven.TestData{Pos: d.Pos, Cmd: cmd, CmdArgs: args})
+	}
+	r.c.when(m, what, d.CmdArgs[0].Key == "before", func() {
+		r.inMoment = true
+		for _, k := range commands {
+			if out := r.command(t, k); out != "" {
+				r.heard = append(r.heard, k.Cmd+": "+out)
+			}
+		}
+		r.inMoment = false
+	})
+	return ""
 }
 
 func (r *runner) command(t *testing.T, d *datadriven.TestData) string {
@@ -146,24 +197,57 @@
 		return r.submit(t, d)
 	case "poll":
 		node := r.node(t, d, arg(d, "node", "leader"))
-		var out string
-		done := false
-		r.c.Poll(node, first(t, d), func(status int, text string) {
-			if arg(d, "short", "") != "" { // without the counts
-				text, _, _ = strings.Cut(text, " ")
-			}
-			out, done = strings.TrimSpace(fmt.Sprintf("%d %s", status, text)), true
+		return r.ask(d, func(done func(string)) {
+			r.c.Poll(node, first(t, d), func(status int, text string) {
+				if arg(d, "short", "") != "" { // without the counts
+					text, _, _ = strings.Cut(text, " ")
+				}
+				done(fmt.Sprintf("%d %s", status, text))
+			})
 		})
-		r.await(&done)
-		return out
 	case "cancel":
 		node := r.node(t, d, arg(d, "node", "leader"))
-		var out string
-		done := false
-		r.c.CancelJob(node, first(t, d), func(status int, state string) {
-			out, done = strings.TrimSpace(fmt.Sprintf("%d %s", status, state)), true
+		return r.ask(d, func(done func(string)) {
+			r.c.CancelJob(node, first(t, d), func(status int, state string) { done(fmt.Sprintf("%d %s", status, state)) })
 		})
-		r.await(&done)
+	case "cancel_now":
+		// cancel_now COUNT [hang=D]: jobs that run and have long to go.
+		count, _ := strconv.Atoi(first(t, d))
+		r.c.CancelNow(count, duration(t, d, arg(d, "hang", "0s")))
+		return ""
+	case "cancel_at_end":
+		// cancel_at_end SHARE, of the jobs that end from now on.
+		share, err := strconv.ParseFloat(first(t, d), 64)
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		r.c.endShare = share
+		return ""
+	case "odd_requests":
+		// odd_requests COUNT every=D
+		count, _ := strconv.Atoi(first(t, d))
+		every := duration(t, d, arg(d, "every", "500ms"))
+		for i := range count {
+			r.c.after(time.Duration(i)*every, r.c.OddRequests)
+		}
+		return ""
+	case "close_looks":
+		r.c.closeLooks = first(t, d) == "on"
+		return ""
+	case "changes":
+		// changes COUNT every=D [down=D]: the leader crashes that often, and is back after down.
+		count, _ := strconv.Atoi(first(t, d))
+		r.c.ChangeLeaders(count, duration(t, d, arg(d, "every", "12s")), duration(t, d, arg(d, "down", "300ms")))
+		return ""
+	case "calm":
+		r.c.Calm()
+		return ""
+	case "when":
+		return r.when(t, d)
+	case "heard":
+		// What came of the commands that ran in moments since the last time.
+		out := strings.Join(r.heard, "\n")
+		r.heard = nil
 		return out
 	case "request":
 		// request METHOD TARGET, with the body as input.
@@ -171,13 +255,11 @@
 			d.Fatalf(t, "request needs a method and a target")
 		}
 		node := r.node(t, d, arg(d, "node", "leader"))
-		var out string
-		done := false
-		r.c.user(node, d.CmdArgs[0].Key, d.CmdArgs[1].Key, []byte(d.Input), func(status int, body []byte) {
-			out, done = fmt.Sprintf("%d %s", status, body), true
+		return r.ask(d, func(done func(string)) {
+			r.c.user(node, d.CmdArgs[0].Key, d.CmdArgs[1].Key, []byte(d.Input), func(status int, body []byte) {
+				done(fmt.Sprintf("%d %s", status, body))
+			})
 		})
-		r.await(&done)
-		return out
 	case "crash":
 		if first(t, d) == "all" {
 			for _, n := range r.c.nodes {
@@ -224,6 +306,7 @@
 			r.c.state.setOutage(false)
 			clear(r.c.state.refused)
 			r.c.state.late, r.c.state.lateMore, r.c.state.lateShare = 0, 0, 0
+			r.c.state.lostShare, r.c.state.slowShare = 0, 0
 		case "refuse":
 			r.c.state.refused[r.c.nodes[r.node(t, d, arg(d, "node", "leader"))].name] = true
 		case "late":
@@ -231,6 +314,12 @@
 			r.c.state.late = duration(t, d, arg(d, "by", "2s"))
 			r.c.state.lateMore = duration(t, d, arg(d, "more", "0s"))
 			r.c.state.lateShare = number(t, d, "share", "0")
+		case "lost":
+			// lost share=S, of transactions: applied at once, answered never
+			r.c.state.lostShare = number(t, d, "share", "0.33")
+		case "slow":
+			// slow by=D share=S, of requests: up to D each
+			r.c.state.slow, r.c.state.slowShare = duration(t, d, arg(d, "by", "2s")), number(t, d, "share", "0.33")
 		case "spent":
 			// Since the start or the last time.
 			s := r.c.state
@@ -290,14 +379,22 @@
 		}
 		return ""
 	case "isolate":
-		r.c.Isolate(r.c.nodes[r.node(t, d, first(t, d))])
+		// isolate NODE [refused]: it gets no answers from the state service, or 503.
+		n := r.c.nodes[r.node(t, d, first(t, d))]
+		if arg(d, "refused", "") != "" {
+			r.c.IsolateRefused(n)
+		} else {
+			r.c.Isolate(n)
+		}
 		return ""
 	case "heal":
 		r.c.Heal()
 		return ""
 	case "copies":
-		// copies on|off, of direct orders; copies reports=D, of reports up to D late.
+		// copies on|off, of direct orders; copies reports=D, of reports up to D late;
+		// copies next=SHARE, of reports for the next leader.
 		r.c.copies = first(t, d) == "on"
+		r.c.keepShare = number(t, d, "next", "0")
 		r.c.reportCopies = duration(t, d, arg(d, "reports", "0s"))
 		return ""
 	case "stream":
@@ -348,6 +445,10 @@
 		r.c.after(duration(t, d, arg(d, "in", "20s")), func() { r.c.cloud.end(h) })
 	case "sick":
 		h.worker.sick = true
+	case "mute":
+		h.worker.mute = true
+	case "unmute":
+		h.worker.mute = false
 	case "reboot":
 		h.worker.reboot()
 	default:
@@ -403,16 +504,13 @@
 func (r *runner) submit(t *testing.T, d *datadriven.TestData) string {
 	spec, run := r.spec(t, d, first(t, d))
 	node := r.node(t, d, arg(d, "node", "leader"))
-	var out string
-	done := false
-	r.c.Submit(node, spec, run, arg(d, "bad", "") != "", func(status int, state string) {
-		out, done = strings.TrimSpace(fmt.Sprintf("%d %s", status, state)), true
+	return r.ask(d, func(done func(string)) {
+		r.c.Submit(node, spec, run, arg(d, "bad", "") != "", func(status int, state string) { done(fmt.Sprintf("%d %s", status, state)) })
 	})
-	r.await(&done)
-	return out
 }
 
-// stream submits jobs at intervals, whatever is answered.
+// stream submits jobs at intervals, whatever is answered; with cancel=N one in N is
+// cancelled on the way, up to a second after it should have ended.
 func (r *runner) stream(t *testing.T, d *datadriven.TestData) string {
 	if len(d.CmdArgs) < 2 {
 		d.Fatalf(t, "stream needs a first number and a count")
@@ -420,12 +518,16 @@
 	from, _ := strconv.Atoi(d.CmdArgs[0].Key)
 	count, _ := strconv.Atoi(d.CmdArgs[1].Key)
 	every, bad := duration(t, d, arg(d, "every", "1s")), arg(d, "bad", "") != ""
+	cancel := int(number(t, d, "cancel", "0"))
 	for i := range count {
 		spec, run := r.spec(t, d, fmt.Sprintf("run-%06d", from+i))
 		r.c.after(time.Duration(i)*every, func() {
 			if node := r.c.Leader(); node >= 0 {
 				r.c.Submit(node, spec, run, bad, func(int, string) {})
 			}
+			if cancel > 0 && i%cancel == 0 {
+				r.c.after(time.Duration(r.c.rng.Int64N(int64(run+time.Second))), func() { r.c.insistCancel(spec.ID) })
+			}
 		})
 	}
 	return ""
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -248,3 +248,21 @@
 	}
 	clear(c.kept)
 }
+
+// ChangeLeaders lets the leader crash some times, one after the other; each is back
+// after a while.
+func (c *Cluster) ChangeLeaders(count int, every, down time.Duration) {
+	for i := range count {
+		c.after(time.Duration(i)*every, func() {
+			if k := c.Leader(); k >= 0 {
+				n := c.nodes[k]
+				n.crash()
+				c.after(down, func() {
+					if n.core == nil {
+						n.start()
+					}
+				})
+			}
+		})
+	}
+}
