--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -217,7 +217,7 @@
 			later(30, func() { c.state.setOutage(false) })
 		case 3:
 			c.state.refused[n.name] = true
-			later(25, func() { delete(c.state.refused, n.name) })
+			later(25, func() { c.state.admit(n.name) })
 		case 4:
 			c.state.late = time.Duration(rng.IntN(4000)) * time.Millisecond
 			later(3, func() { c.state.late = 0 })
@@ -285,7 +285,7 @@
 			}
 		case 29:
 			c.IsolateRefused(n)
-			later(30, func() { delete(c.state.refused, n.name); c.Heal() })
+			later(30, func() { c.state.admit(n.name); c.Heal() })
 		case 30:
 			c.CancelNow(1+rng.IntN(8), time.Duration(rng.IntN(2)*rng.IntN(25000))*time.Millisecond)
 		case 31:
@@ -338,7 +338,7 @@
 					later(20, n.thaw)
 				case 2:
 					c.IsolateRefused(n)
-					later(20, func() { delete(c.state.refused, n.name); c.Heal() })
+					later(20, func() { c.state.admit(n.name); c.Heal() })
 				case 3:
 					c.Isolate(n)
 					later(20, c.Heal)
@@ -398,7 +398,7 @@
 	c.Advance(45 * time.Second)
 	c.Heal()
 	c.state.setOutage(false)
-	clear(c.state.refused)
+	c.state.admit()
 	c.state.late, c.state.lateShare, c.cloud.late, c.cloud.outage, c.reportCopies = 0, 0, 0, false, 0
 	c.cloud.factor, c.cloud.dead, c.cloud.answers = 0, 0, 0
 	c.state.lostShare, c.state.slowShare, c.keepShare, c.endShare, c.closeLooks, c.hooks = 0, 0, 0, 0, false, nil
--- a/internal/standin/moments.go
+++ b/internal/standin/moments.go
@@ -45,20 +45,19 @@
 	if len(c.hooks) == 0 {
 		return
 	}
-	var due []*hook
-	c.hooks = slices.DeleteFunc(c.hooks, func(h *hook) bool {
-		hit := h.moment == m && h.before == before && (h.what == "" || slices.ContainsFunc(names, func(name string) bool {
+	// One at a time, the oldest first: what several are to do in turn, at the first
+	// leader, the second and so on, is told by several hooks.
+	i := slices.IndexFunc(c.hooks, func(h *hook) bool {
+		return h.moment == m && h.before == before && (h.what == "" || slices.ContainsFunc(names, func(name string) bool {
 			if m == onWrite {
 				return strings.HasPrefix(name, h.what)
 			}
 			return name == h.what
 		}))
-		if hit {
-			due = append(due, h)
-		}
-		return hit
 	})
-	for _, h := range due {
+	if i >= 0 {
+		h := c.hooks[i]
+		c.hooks = slices.Delete(c.hooks, i, i+1)
 		h.run()
 	}
 }
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -304,7 +304,7 @@
 			r.c.state.setOutage(true)
 		case "up":
 			r.c.state.setOutage(false)
-			clear(r.c.state.refused)
+			r.c.state.admit()
 			r.c.state.late, r.c.state.lateMore, r.c.state.lateShare = 0, 0, 0
 			r.c.state.lostShare, r.c.state.slowShare = 0, 0
 		case "refuse":
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -47,6 +47,7 @@
 }
 
 type watch struct {
+	from    string // the node that waits
 	prefix  string
 	after   uint64
 	respond func(int, []byte)
@@ -80,6 +81,17 @@
 	}
 }
 
+// admit serves a node again that was refused alone, or all of them.
+func (s *stateService) admit(nodes ...string) {
+	for _, name := range nodes {
+		delete(s.refused, name)
+	}
+	if len(nodes) == 0 {
+		clear(s.refused)
+	}
+	s.notify()
+}
+
 func (s *stateService) leaseIDs() []uint64 {
 	var ids []uint64
 	for id := range s.leases {
@@ -157,7 +169,8 @@
 		if w.closed {
 			continue
 		}
-		if len(s.news(w)) > 0 {
+		// An open watch of a node that is refused waits, as all do in an outage.
+		if len(s.news(w)) > 0 && !s.refused[w.from] {
 			ready = append(ready, w)
 		} else {
 			keep = append(keep, w)
@@ -248,15 +261,15 @@
 		respond(200, protocol.EncodeRange(items, more, s.revision))
 	case path == protocol.PathChanges:
 		prefix, after, _, wait := protocol.RangeQuery(query)
-		from, _ := strconv.ParseUint(after, 10, 64)
-		w := &watch{prefix: prefix, after: from, respond: respond}
+		since, _ := strconv.ParseUint(after, 10, 64)
+		w := &watch{from: from, prefix: prefix, after: since, respond: respond}
 		if news := s.news(w); len(news) > 0 {
 			respond(200, protocol.EncodeEvents(news, s.revision))
 			return
 		}
 		s.watches = append(s.watches, w)
 		s.c.after(wait, func() {
-			if !w.closed && !s.outage {
+			if !w.closed && !s.outage && !s.refused[w.from] {
 				w.closed = true
 				respond(200, protocol.EncodeEvents(nil, s.revision))
 			}
