--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -14,13 +14,13 @@
 func leading(p phase) (*Node, *lead) {
 	now := time.Date(2026, 9, 21, 12, 0, 0, 0, time.UTC)
 	cfg := &config.Settings{Name: "n0", Zone: "a", ReportInterval: 2 * time.Second, WorkerLease: 15 * time.Second,
-		CancelWithin: 40 * time.Second, CPUShare: 0.3, StateRPS: 200, StateWriteRPS: 80, ValueBytes: 8 << 10, TxnOps: 12, CloudRPS: 4,
+		CancelWithin: 40 * time.Second, CPUShare: 0.3, Sockets: 900, StateRPS: 200, StateWriteRPS: 80, ValueBytes: 8 << 10, TxnOps: 12, CloudRPS: 4,
 		Teams: []config.Team{{Name: "red", CPUs: 8, CPUsMax: 16}}}
 	n := New(cfg, config.DefaultOperator(), slog.New(slog.DiscardHandler), 1, now)
 	n.setTypes([]protocol.MachineType{{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 3, FetchRate: 1, Price: 1, SpotPrice: 0.5,
 		Boot: 10 * time.Second, Zones: []string{"a"}}})
 	n.becomeLeader(1, 10, 5, 2*time.Second, now.Add(time.Hour))
-	n.lead.phase = p
+	n.lead.phase, n.lead.known = p, now.Add(time.Hour)
 	n.take()
 	return n, n.lead
 }
@@ -91,7 +91,7 @@
 	var list []*machine
 	for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
 		m := l.newMachine(name, "small", "a", false)
-		m.up, m.recorded, m.heard, m.reached = true, true, l.n.now, l.n.now
+		m.up, m.recorded, m.heard, m.answered, m.reached = true, true, l.n.now, l.n.now, l.n.now
 		list = append(list, m)
 	}
 	list[0].cpus, list[1].cpus, list[2].cpus = 2, 0, 1
@@ -276,3 +276,34 @@
 		t.Error("eight of ten were heard")
 	}
 }
+
+// A machine whose worker can't reach any controller answers calls all the same. Nothing
+// new starts there, since its lease isn't renewed, and it is given up once that has
+// lasted for two leases.
+func TestMuteMachine(t *testing.T) {
+	n, l := leading(active)
+	n.Request(n.now, 1, "POST", protocol.PathReport, report(4))
+	m := l.machines["vm-1"]
+	m.recorded, m.spec = true, n.types["small"]
+	begin := n.now
+	l.watchMachines()
+	for seq := uint64(5); n.now.Sub(begin) <= 2*n.cfg.WorkerLease; seq++ {
+		n.now = n.now.Add(time.Second)
+		r, err := protocol.ParseReport(report(seq))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.takeReport(m, r, false) // an answer to a call
+		l.watchMachines()
+		if open := l.open(m); open != (n.now.Sub(begin) <= l.suspectAfter()+lostReport) {
+			t.Fatalf("open %t after %s without a report", open, n.now.Sub(begin))
+		}
+		if m.releasing && n.now.Sub(begin) <= 2*n.cfg.WorkerLease {
+			t.Fatalf("given up after %s", n.now.Sub(begin))
+		}
+	}
+	l.watchMachines()
+	if !m.releasing {
+		t.Error("not given up after two leases")
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -26,6 +26,9 @@
 	// all of them, or lateShare.
 	late, lateMore time.Duration
 	lateShare      float64
+	lostShare      float64       // of transactions is applied at once, and its answer lost
+	slow           time.Duration // up to this long a share of the requests takes
+	slowShare      float64
 
 	requests, changes *bookkeeping.Budget // what the settings allow a second
 	changed, limited  int                 // changes made, and requests refused for their number
@@ -44,6 +47,7 @@
 }
 
 type watch struct {
+	from    string // the node that waits
 	prefix  string
 	after   uint64
 	respond func(int, []byte)
@@ -77,6 +81,17 @@
 	}
 }
 
+// admit serves a node again that was refused alone, or all of them.
+func (s *stateService) admit(nodes ...string) {
+	for _, name := range nodes {
+		delete(s.refused, name)
+	}
+	if len(nodes) == 0 {
+		clear(s.refused)
+	}
+	s.notify()
+}
+
 func (s *stateService) leaseIDs() []uint64 {
 	var ids []uint64
 	for id := range s.leases {
@@ -154,7 +169,8 @@
 		if w.closed {
 			continue
 		}
-		if len(s.news(w)) > 0 {
+		// An open watch of a node that is refused waits, as all do in an outage.
+		if len(s.news(w)) > 0 && !s.refused[w.from] {
 			ready = append(ready, w)
 		} else {
 			keep = append(keep, w)
@@ -179,6 +195,19 @@
 }
 
 func (s *stateService) serve(from, method, target string, body []byte, respond func(int, []byte)) {
+	if s.slowShare > 0 && s.c.rng.Float64() < s.slowShare {
+		wait := time.Duration(s.c.rng.Int64N(int64(s.slow)))
+		if s.c.rng.IntN(2) == 0 { // it is carried out late, or at once and answered late
+			s.c.after(wait, func() { s.handle(from, method, target, body, respond) })
+			return
+		}
+		answer := respond
+		respond = func(status int, body []byte) { s.c.after(wait, func() { answer(status, body) }) }
+	}
+	s.handle(from, method, target, body, respond)
+}
+
+func (s *stateService) handle(from, method, target string, body []byte, respond func(int, []byte)) {
 	if s.outage || s.refused[from] {
 		respond(503, nil)
 		return
@@ -210,6 +239,10 @@
 			s.c.after(late, func() { s.commit(t, func(int, []byte) {}) })
 			return
 		}
+		if s.lostShare > 0 && len(t.Then) > 0 && s.c.rng.Float64() < s.lostShare {
+			s.c.around(onLostAnswer, nil, func() { s.commit(t, func(int, []byte) {}) })
+			return
+		}
 		s.commit(t, respond)
 	case path == protocol.PathKeys:
 		prefix, after, limit, _ := protocol.RangeQuery(query)
@@ -228,15 +261,15 @@
 		respond(200, protocol.EncodeRange(items, more, s.revision))
 	case path == protocol.PathChanges:
 		prefix, after, _, wait := protocol.RangeQuery(query)
-		from, _ := strconv.ParseUint(after, 10, 64)
-		w := &watch{prefix: prefix, after: from, respond: respond}
+		since, _ := strconv.ParseUint(after, 10, 64)
+		w := &watch{from: from, prefix: prefix, after: since, respond: respond}
 		if news := s.news(w); len(news) > 0 {
 			respond(200, protocol.EncodeEvents(news, s.revision))
 			return
 		}
 		s.watches = append(s.watches, w)
 		s.c.after(wait, func() {
-			if !w.closed && !s.outage {
+			if !w.closed && !s.outage && !s.refused[w.from] {
 				w.closed = true
 				respond(200, protocol.EncodeEvents(nil, s.revision))
 			}
@@ -302,6 +335,16 @@
 		respond(409, protocol.EncodeFailed(failed, s.revision))
 		return
 	}
+	var written []string
+	begins := false
+	for _, op := range t.Then {
+		written = append(written, op.Put+op.Delete)
+		begins = begins || op.Put == bookkeeping.KeyLeader
+	}
+	s.c.strike(onWrite, written, true)
+	if begins {
+		s.c.strike(onLeader, nil, true)
+	}
 	if len(t.Then) > 0 {
 		s.revision++
 		for _, op := range t.Then {
@@ -314,4 +357,9 @@
 	}
 	respond(200, protocol.EncodeRevision(s.revision))
 	s.notify()
+	s.c.strike(onWrite, written, false)
+	if begins {
+		s.c.strike(onLeader, nil, false)
+		s.c.deliverKept()
+	}
 }
