--- a/internal/standin/calm.go
+++ b/internal/standin/calm.go
@@ -10,6 +10,9 @@
 // team is under its limit, once the troubles are over.
 const waitBeside = 90 * time.Second
 
+// pollEvery is how often users ask for a job in a calm.
+const pollEvery = 10 * time.Second
+
 // Calm says that all troubles are over: from now on users ask for every unfinished
 // job, none may go without an answer for long, and none may wait beside room.
 func (c *Cluster) Calm() {
@@ -30,14 +33,15 @@
 	if c.calm.IsZero() {
 		return
 	}
-	unfinished := c.ids(func(j *userJob) bool { return j.accepted && !j.asked && j.told == 0 })
-	for i, id := range unfinished {
+	unfinished := c.ids(func(j *userJob) bool { return j.accepted && j.told == 0 })
+	for _, id := range unfinished {
 		j := c.jobs[id]
-		if i%5 == int(c.now.Sub(c.calm)/(2*time.Second))%5 {
+		if c.now.Sub(j.polled) >= pollEvery {
+			j.polled = c.now
 			c.Poll(c.rng.IntN(len(c.nodes)), id, func(int, string) {})
 		}
 		switch {
-		case j.bad || j.failures > 0 || !c.waitsBeside(j):
+		case j.asked || j.bad || j.failures > 0 || !c.waitsBeside(j):
 			j.waits = time.Time{}
 		case j.waits.IsZero() || j.began.After(j.waits):
 			j.waits = c.now
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -81,6 +81,7 @@
 	kept       map[string][][]byte // by machine
 	endShare   float64             // of the jobs that end is cancelled at that moment
 	closeLooks bool                // users ask all nodes right after each change
+	slowLinks  time.Duration       // up to this much more every message takes
 	odd        int                 // odd requests sent, to name the next ones
 	hooks      []*hook
 	calm       time.Time // since when there is no trouble; zero while there is
@@ -194,7 +195,11 @@
 
 // delay is how long a message takes.
 func (c *Cluster) delay() time.Duration {
-	return time.Millisecond + time.Duration(c.rng.Int64N(int64(2*time.Millisecond)))
+	d := time.Millisecond + time.Duration(c.rng.Int64N(int64(2*time.Millisecond)))
+	if c.slowLinks > 0 {
+		d += time.Duration(c.rng.Int64N(int64(c.slowLinks)))
+	}
+	return d
 }
 
 // send delivers a message from one host to another unless the link is cut.
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -362,7 +362,7 @@
 		}
 		return r.trouble(t, d, d.CmdArgs[1].Key)
 	case "cut":
-		// cut A B [hold] [oneway] [reset]: a host, "zone:Z", "machines" or "nodes";
+		// cut A B [hold] [oneway] [reset]: a host, "zone:Z", "zone:leader", "zone:others", "machines" or "nodes";
 		// oneway stops only what A sends to B, reset does so by ending connections.
 		for _, a := range r.hosts(t, d, d.CmdArgs[0].Key) {
 			for _, b := range r.hosts(t, d, d.CmdArgs[1].Key) {
@@ -387,6 +387,10 @@
 			r.c.Isolate(n)
 		}
 		return ""
+	case "links":
+		// links slow=D: every message takes up to D more.
+		r.c.slowLinks = duration(t, d, arg(d, "slow", "0s"))
+		return ""
 	case "heal":
 		r.c.Heal()
 		return ""
@@ -415,6 +419,9 @@
 		return "one"
 	case "show":
 		return r.show()
+	case "show_count":
+		// How many jobs there are, by what their users know and what runs.
+		return r.showCount()
 	case "fleet":
 		return r.fleet()
 	case "jobs":
@@ -473,16 +480,21 @@
 		}
 		return list
 	}
-	switch zone, isZone := strings.CutPrefix(name, "zone:"); {
+	zone, isZone := strings.CutPrefix(name, "zone:")
+	others := zone == "others" // than the leader's
+	if zone == "leader" || others {
+		zone = r.c.nodes[r.node(t, d, "leader")].zone
+	}
+	switch {
 	case name == "machines" || isZone:
 		for _, h := range r.c.cloud.hosts {
-			if name == "machines" || h.zone == zone {
+			if name == "machines" || (h.zone == zone) != others {
 				list = append(list, h.name)
 			}
 		}
 		if isZone {
 			for _, n := range r.c.nodes {
-				if n.zone == zone {
+				if (n.zone == zone) != others {
 					list = append(list, n.name)
 				}
 			}
@@ -510,7 +522,8 @@
 }
 
 // stream submits jobs at intervals, whatever is answered; with cancel=N one in N is
-// cancelled on the way, up to a second after it should have ended.
+// cancelled on the way, up to a second after it should have ended, and with insist each
+// is sent until it is answered for good.
 func (r *runner) stream(t *testing.T, d *datadriven.TestData) string {
 	if len(d.CmdArgs) < 2 {
 		d.Fatalf(t, "stream needs a first number and a count")
@@ -518,11 +531,13 @@
 	from, _ := strconv.Atoi(d.CmdArgs[0].Key)
 	count, _ := strconv.Atoi(d.CmdArgs[1].Key)
 	every, bad := duration(t, d, arg(d, "every", "1s")), arg(d, "bad", "") != ""
-	cancel := int(number(t, d, "cancel", "0"))
+	cancel, insist := int(number(t, d, "cancel", "0")), arg(d, "insist", "") != ""
 	for i := range count {
 		spec, run := r.spec(t, d, fmt.Sprintf("run-%06d", from+i))
 		r.c.after(time.Duration(i)*every, func() {
-			if node := r.c.Leader(); node >= 0 {
+			if insist {
+				r.c.insist(func(node int, done func(int, string)) { r.c.Submit(node, spec, run, bad, done) })
+			} else if node := r.c.Leader(); node >= 0 {
 				r.c.Submit(node, spec, run, bad, func(int, string) {})
 			}
 			if cancel > 0 && i%cancel == 0 {
@@ -584,6 +599,28 @@
 	return b.String()
 }
 
+// showCount counts jobs by what their users were told, and tasks that run.
+func (r *runner) showCount() string {
+	told, tasks := map[string]int{}, 0
+	for _, j := range r.c.jobs {
+		tasks += len(j.on)
+		switch {
+		case j.told != 0:
+			told[j.told.String()]++
+		case j.accepted:
+			told["unfinished"]++
+		default:
+			told["not accepted"]++
+		}
+	}
+	var list []string
+	for what, n := range told {
+		list = append(list, fmt.Sprintf("%d %s", n, what))
+	}
+	slices.Sort(list)
+	return fmt.Sprintf("%s; %d tasks run", strings.Join(list, ", "), tasks)
+}
+
 // fleet counts the machines that are paid for.
 func (r *runner) fleet() string {
 	count := map[string]int{}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -23,6 +23,7 @@
 	submitted time.Time
 	began     time.Time // when its first task ran
 	accepted  bool
+	polled    time.Time // last, in a calm
 	waits     time.Time // since when it waits beside room, in a calm
 	asked     bool      // a cancellation was asked for
 	cancelled time.Time
