--- a/internal/coordination/explain.go
+++ b/internal/coordination/explain.go
@@ -44,7 +44,7 @@
 		what = "the state service does not answer"
 	case n.lead != nil && n.lead.phase == loading && n.now.Sub(n.lead.elected) > explainAfter:
 		what = "records are being loaded"
-	case n.lead != nil && !n.lead.entitled():
+	case n.lead != nil && !n.lead.known.IsZero() && !n.lead.entitled():
 		what = "the leader lease has ended"
 	case n.lead == nil && n.leaderName() == "":
 		what = "no leader is known"
