--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// kinds of trouble are drawn.
+const kinds = 40
+
 func chaos(t *testing.T, seed uint64, fleet bool) {
 	rng := rand.New(rand.NewPCG(seed, 99))
 	zones := [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}}[rng.IntN(3)]
@@ -109,13 +112,22 @@
 	later := func(most int, f func()) {
 		c.after(time.Duration(500+rng.IntN(most*1000))*time.Millisecond, f)
 	}
-	// One trouble, among those that go on.
+	// One trouble, among those that go on. Half of the days are made of three troubles
+	// that meet again and again.
+	var few []int
+	if rng.IntN(2) == 0 {
+		few = []int{rng.IntN(kinds), rng.IntN(kinds), rng.IntN(kinds)}
+	}
 	trouble := func() {
+		kind := rng.IntN(kinds)
+		if few != nil && rng.IntN(8) != 0 {
+			kind = few[rng.IntN(len(few))]
+		}
 		n := c.nodes[rng.IntN(3)]
 		if i := c.Leader(); i >= 0 && rng.IntN(3) == 0 {
 			n = c.nodes[i]
 		}
-		switch rng.IntN(40) {
+		switch kind {
 		case 19: // without power for up to more than a minute
 			if n.core != nil {
 				n.crash()
@@ -392,6 +404,12 @@
 		}
 		for range []int{1, 1, 1, 2, 2, 3}[rng.IntN(6)] {
 			trouble()
+			if rng.IntN(2) == 0 { // or in the same moment
+				c.Advance(time.Duration(rng.IntN(1200)) * time.Millisecond)
+			}
+			if len(accepted) > 0 && few != nil && rng.IntN(3) == 0 {
+				c.insistCancel(accepted[rng.IntN(len(accepted))])
+			}
 		}
 	}
 	// Everything heals, and services are cancelled.
--- a/internal/standin/moments.go
+++ b/internal/standin/moments.go
@@ -15,7 +15,7 @@
 	onLostAnswer
 	// The leader key is written; the node learns of it some milliseconds later.
 	onLeader
-	// A report arrives at the node of that name, or any.
+	// A report arrives at the node of that name, or any; NODE/MACHINE: this machine's.
 	onReport
 	// The last task of the job completes.
 	onDone
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -147,7 +147,7 @@
 
 // when before|after MOMENT [WHAT], with commands as input, one a line: they run once,
 // right before or after it. MOMENT is write KEYPREFIX, answer-lost, leader,
-// report NODE or done JOB.
+// report NODE, report NODE/MACHINE or done JOB.
 func (r *runner) when(t *testing.T, d *datadriven.TestData) string {
 	if len(d.CmdArgs) < 2 || moments[d.CmdArgs[1].Key] == 0 || d.CmdArgs[0].Key != "before" && d.CmdArgs[0].Key != "after" {
 		d.Fatalf(t, "when needs before or after, and a moment")
@@ -157,7 +157,10 @@
 		what = d.CmdArgs[2].Key
 	}
 	if m == onReport && what != "" {
-		what = r.c.nodes[r.node(t, d, what)].name
+		node, machine, of := strings.Cut(what, "/")
+		if what = r.c.nodes[r.node(t, d, node)].name; of {
+			what += "/" + machine
+		}
 	}
 	var commands []*datadriven.TestData
 	for line := range strings.Lines(d.Input) {
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -229,7 +229,8 @@
 	}
 }
 
-// deliverKept sends what was kept to every controller, as a leader begins.
+// deliverKept sends what was kept to every controller as a leader begins, and once more
+// when it has heard newer reports.
 func (c *Cluster) deliverKept() {
 	var names []string
 	for name := range c.kept {
@@ -239,10 +240,12 @@
 	for _, name := range names {
 		for _, body := range c.kept[name] {
 			for _, n := range c.nodes {
-				// The new leader learns of its election within these milliseconds.
-				c.after(time.Duration(c.rng.Int64N(int64(6*time.Millisecond))), func() {
-					c.send(name, n.name, func() { n.request("POST", protocol.PathReport, body, func(int, []byte) {}) })
-				})
+				// The new leader learns of its election within the first of these times.
+				for _, within := range []time.Duration{6 * time.Millisecond, 3 * time.Second} {
+					c.after(time.Duration(c.rng.Int64N(int64(within))), func() {
+						c.send(name, n.name, func() { n.request("POST", protocol.PathReport, body, func(int, []byte) {}) })
+					})
+				}
 			}
 		}
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -181,7 +181,7 @@
 	}
 	var replied time.Time // when the controller sent its answer
 	serve := func(respond func(int, []byte)) {
-		c.around(onReport, []string{n.name}, func() {
+		c.around(onReport, []string{n.name, n.name + "/" + w.name}, func() {
 			n.request("POST", protocol.PathReport, body, func(status int, body []byte) {
 				replied = c.now
 				respond(status, body)
