--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -309,7 +309,7 @@
 			r.c.state.setOutage(false)
 			clear(r.c.state.refused)
 			r.c.state.late, r.c.state.lateMore, r.c.state.lateShare = 0, 0, 0
-			r.c.state.lostShare, r.c.state.slowShare = 0, 0
+			r.c.state.lostShare, r.c.state.slowShare, r.c.state.slowWatches = 0, 0, 0
 		case "refuse":
 			r.c.state.refused[r.c.nodes[r.node(t, d, arg(d, "node", "leader"))].name] = true
 		case "late":
@@ -321,7 +321,11 @@
 			// lost share=S, of transactions: applied at once, answered never
 			r.c.state.lostShare = number(t, d, "share", "0.33")
 		case "slow":
-			// slow by=D share=S, of requests: up to D each
+			// slow by=D share=S, of requests: up to D each; slow by=D watches: new watches, by D
+			if arg(d, "watches", "") != "" {
+				r.c.state.slowWatches = duration(t, d, arg(d, "by", "2s"))
+				return ""
+			}
 			r.c.state.slow, r.c.state.slowShare = duration(t, d, arg(d, "by", "2s")), number(t, d, "share", "0.33")
 		case "spent":
 			// Since the start or the last time.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -29,6 +29,7 @@
 	lostShare      float64       // of transactions is applied at once, and its answer lost
 	slow           time.Duration // up to this long a share of the requests takes
 	slowShare      float64
+	slowWatches    time.Duration // watches are answered this much later
 
 	requests, changes *bookkeeping.Budget // what the settings allow a second
 	changed, limited  int                 // changes made, and requests refused for their number
@@ -247,6 +248,10 @@
 		}
 		respond(200, protocol.EncodeRange(items, more, s.revision))
 	case path == protocol.PathChanges:
+		if late := s.slowWatches; late > 0 {
+			answer := respond
+			respond = func(status int, body []byte) { s.c.after(late, func() { answer(status, body) }) }
+		}
 		prefix, after, _, wait := protocol.RangeQuery(query)
 		from, _ := strconv.ParseUint(after, 10, 64)
 		w := &watch{prefix: prefix, after: from, respond: respond}
