--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -147,7 +147,7 @@
 
 // when before|after MOMENT [WHAT], with commands as input, one a line: they run once,
 // right before or after it. MOMENT is write KEYPREFIX, answer-lost, leader,
-// report NODE or done JOB.
+// report NODE, report NODE/MACHINE or done JOB.
 func (r *runner) when(t *testing.T, d *datadriven.TestData) string {
 	if len(d.CmdArgs) < 2 || moments[d.CmdArgs[1].Key] == 0 || d.CmdArgs[0].Key != "before" && d.CmdArgs[0].Key != "after" {
 		d.Fatalf(t, "when needs before or after, and a moment")
@@ -157,7 +157,10 @@
 		what = d.CmdArgs[2].Key
 	}
 	if m == onReport && what != "" {
-		what = r.c.nodes[r.node(t, d, what)].name
+		node, machine, of := strings.Cut(what, "/")
+		if what = r.c.nodes[r.node(t, d, node)].name; of {
+			what += "/" + machine
+		}
 	}
 	var commands []*datadriven.TestData
 	for line := range strings.Lines(d.Input) {
@@ -306,7 +309,7 @@
 			r.c.state.setOutage(false)
 			r.c.state.admit()
 			r.c.state.late, r.c.state.lateMore, r.c.state.lateShare = 0, 0, 0
-			r.c.state.lostShare, r.c.state.slowShare = 0, 0
+			r.c.state.lostShare, r.c.state.slowShare, r.c.state.slowWatches = 0, 0, 0
 		case "refuse":
 			r.c.state.refused[r.c.nodes[r.node(t, d, arg(d, "node", "leader"))].name] = true
 		case "late":
@@ -318,7 +321,11 @@
 			// lost share=S, of transactions: applied at once, answered never
 			r.c.state.lostShare = number(t, d, "share", "0.33")
 		case "slow":
-			// slow by=D share=S, of requests: up to D each
+			// slow by=D share=S, of requests: up to D each; slow by=D watches: new watches, by D
+			if arg(d, "watches", "") != "" {
+				r.c.state.slowWatches = duration(t, d, arg(d, "by", "2s"))
+				return ""
+			}
 			r.c.state.slow, r.c.state.slowShare = duration(t, d, arg(d, "by", "2s")), number(t, d, "share", "0.33")
 		case "spent":
 			// Since the start or the last time.
