--- /dev/null
+++ b/internal/coordination/guards_test.go
@@ -0,0 +1,116 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// nextTxn is the transaction that a step sends.
+func nextTxn(t *testing.T, n *Node) *protocol.Txn {
+	t.Helper()
+	for _, c := range n.take().Calls {
+		if c.To == State && c.Target == protocol.PathMulti {
+			txn, err := protocol.ParseTxn(c.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return txn
+		}
+	}
+	t.Fatal("no transaction is sent")
+	return nil
+}
+
+func demands(txn *protocol.Txn, key string, version uint64) bool {
+	for _, c := range txn.If {
+		if c.Key == key && c.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// What a leader records holds only while it leads, while the job has no outcome and while
+// the record is the one it knows: each alone keeps a late copy of the transaction, a
+// cancellation that came first, or an older write of its own from doing harm.
+func TestRecordsAreConditional(t *testing.T) {
+	n, l := leading(active)
+	j, _ := running(n, l, 4)
+	n.Request(n.now, 1, "POST", protocol.PathReport, report(3))
+	m := l.machines["vm-1"]
+	m.recorded, m.reached = true, n.now
+	c := j.chunk(0)
+	c.version = 7
+	l.journal.busy = false // with the record of the machine
+	l.assign(j, 0, m)
+	txn := nextTxn(t, n)
+	for key, version := range map[string]uint64{bookkeeping.KeyLeader: l.version, bookkeeping.KeyOutcome(j.ID): 0, bookkeeping.KeyChunk(j.ID, 0): 7} {
+		if !demands(txn, key, version) {
+			t.Errorf("a placement is recorded whatever %s is: %+v", key, txn.If)
+		}
+	}
+	// So does the outcome: whoever writes it first decides.
+	n, l = leading(active)
+	j, _ = running(n, l, 4)
+	l.journal.puts = nil
+	l.taskDone(j, 0)
+	txn = nextTxn(t, n)
+	if !demands(txn, bookkeeping.KeyLeader, l.version) || !demands(txn, bookkeeping.KeyOutcome(j.ID), 0) {
+		t.Errorf("a job is called done whatever its outcome is: %+v", txn.If)
+	}
+}
+
+// A direct start without an answer may be carried out late. That the worker lacks it is
+// proof only under a token above that of the start; until then it counts for its team.
+func TestUnansweredStartIsFenced(t *testing.T) {
+	n, l := leading(active)
+	j, _ := running(n, l, 4)
+	n.Request(n.now, 1, "POST", protocol.PathReport, report(3))
+	m := l.machines["vm-1"]
+	a := &attempt{job: j, number: 1, machine: m, recorded: true, directToken: l.machineToken(m), directSession: 1}
+	l.attach(a)
+	m.directToken = a.directToken
+	l.jobOver(j, protocol.Cancelled)
+	below := l.machineToken(m)
+	n.Request(n.now, 2, "POST", protocol.PathReport, report(5))
+	if j.task(0).live != a || l.teams["red"].cpus != 1 {
+		t.Fatal("gone while its start may still be carried out")
+	}
+	if l.machineToken(m) <= below {
+		t.Fatal("the start isn't fenced off")
+	}
+	n.Request(n.now, 3, "POST", protocol.PathReport, protocol.EncodeReport(&protocol.Report{Machine: "vm-1", Addr: "x", Type: "small",
+		Zone: "a", Session: 1, Seq: 6, Token: l.machineToken(m)}))
+	if j.task(0).live != nil || l.teams["red"].cpus != 0 {
+		t.Error("still there although no start can be carried out any more")
+	}
+}
+
+// Work that was told to stop counts for its team's limit, and for its job's zones, until
+// it is proven gone: its machine may hang, or be cut off.
+func TestStoppedWorkCounts(t *testing.T) {
+	n, l := leading(active)
+	s := spec("run-000001")
+	s.Tasks, s.CPUs, s.OneZone = 2, 8, true
+	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 8, Spec: s})
+	j := l.jobs[s.ID]
+	m := l.newMachine("vm-1", "small", "a", false)
+	for i := range 2 {
+		l.attach(&attempt{job: j, task: i, number: 1, machine: m, recorded: true, seen: true})
+	}
+	other := &job{Job: spec("run-000002"), zones: map[string]int{}}
+	if l.underLimit(other) {
+		t.Fatal("the team has 16 CPUs and uses them")
+	}
+	l.jobOver(j, protocol.Cancelled)
+	n.now = n.now.Add(time.Hour)
+	if l.underLimit(other) {
+		t.Error("tasks count no more once they were told to stop")
+	}
+	if j.zoneAllows("b") {
+		t.Error("another zone is allowed while tasks may be in this one")
+	}
+}
