--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -114,3 +114,72 @@
 		t.Error("another zone is allowed while tasks may be in this one")
 	}
 }
+
+// A task is placed only on a machine that is on record: the next leader finds attempts by
+// their machines, and takes those on others for gone.
+func TestWorkOnlyOnRecordedMachines(t *testing.T) {
+	n, l := leading(active)
+	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 8, Spec: spec("run-000001")})
+	n.Request(n.now, 1, "POST", protocol.PathReport, report(3))
+	m := l.machines["vm-1"]
+	m.reached, m.spec = n.now, n.types["small"]
+	for _, recorded := range []bool{false, true} {
+		m.recorded = recorded
+		l.place()
+		if placed := len(m.attempts) > 0; placed != recorded {
+			t.Errorf("on record %t, task placed %t", recorded, placed)
+		}
+	}
+}
+
+// A leader whose lease may have ended places nothing, and after its grace it answers no
+// worker, whatever it knows: another may lead, and wait for the end of that grace only.
+func TestRightsEndWithTheLease(t *testing.T) {
+	n, l := leading(active)
+	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 8, Spec: spec("run-000001")})
+	n.Request(n.now, 1, "POST", protocol.PathReport, report(3))
+	m := l.machines["vm-1"]
+	m.recorded, m.reached, m.spec = true, n.now, n.types["small"]
+	l.validUntil = n.now
+	l.place()
+	if len(m.attempts) > 0 {
+		t.Error("placed without a lease")
+	}
+	l.validUntil, l.known = n.now, n.now.Add(time.Hour)
+	n.now = n.now.Add(l.grace())
+	if !l.entitled() {
+		t.Error("not entitled within its grace")
+	}
+	n.now = n.now.Add(time.Millisecond)
+	e := n.Request(n.now, 2, "POST", protocol.PathReport, report(4))
+	if len(e.Replies) != 1 || e.Replies[0].Status != 421 {
+		t.Errorf("after its grace it answers %+v", e.Replies)
+	}
+}
+
+// A candidate is elected only while nobody leads and in the term after the one it read, and
+// its key goes with its lease: a transaction that is carried out late elects nobody.
+func TestElectionIsConditional(t *testing.T) {
+	n, _ := leading(active)
+	n.lead = nil
+	n.take()
+	n.election.term, n.election.termVersion = 4, 33
+	n.stand()
+	var lease uint64
+	for _, c := range n.take().Calls {
+		if c.Target == protocol.PathLeases {
+			lease = c.ID
+		}
+	}
+	e := n.Result(n.now, lease, Outcome{Answered: true, Status: 200, Body: protocol.EncodeLease(77)})
+	txn, err := protocol.ParseTxn(e.Calls[0].Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !demands(txn, bookkeeping.KeyLeader, 0) || !demands(txn, bookkeeping.KeyTerm, 33) {
+		t.Errorf("elected under %+v", txn.If)
+	}
+	if txn.Then[0].Put != bookkeeping.KeyLeader || txn.Then[0].Lease != 77 {
+		t.Errorf("the key goes with lease %d", txn.Then[0].Lease)
+	}
+}
