--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -262,9 +262,20 @@
 
 // Heal ends every cut; what was held arrives in order.
 func (c *Cluster) Heal() {
+	c.heal(func(link) bool { return true })
+}
+
+// HealBetween ends the cuts between two hosts.
+func (c *Cluster) HealBetween(a, b string) {
+	c.heal(func(l link) bool { return l == link{a, b} || l == link{b, a} })
+}
+
+func (c *Cluster) heal(which func(link) bool) {
 	var list []link
 	for l := range c.links {
-		list = append(list, l)
+		if which(l) {
+			list = append(list, l)
+		}
 	}
 	slices.SortFunc(list, func(a, b link) int {
 		if a.from != b.from {
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -399,6 +399,15 @@
 		r.c.slowLinks = duration(t, d, arg(d, "slow", "0s"))
 		return ""
 	case "heal":
+		// heal [A B]
+		if len(d.CmdArgs) == 2 {
+			for _, a := range r.hosts(t, d, d.CmdArgs[0].Key) {
+				for _, b := range r.hosts(t, d, d.CmdArgs[1].Key) {
+					r.c.HealBetween(a, b)
+				}
+			}
+			return ""
+		}
 		r.c.Heal()
 		return ""
 	case "copies":
