--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -145,15 +145,15 @@
 // moments are the names of those that "when" knows.
 var moments = map[string]moment{"write": onWrite, "answer-lost": onLostAnswer, "leader": onLeader, "report": onReport, "done": onDone}
 
-// when before|after MOMENT [WHAT], with commands as input, one a line: they run once,
-// right before or after it. MOMENT is write KEYPREFIX, answer-lost, leader,
+// when before|after MOMENT [WHAT] [in=D], with commands as input, one a line: they run once,
+// right before or after it, or D later. MOMENT is write KEYPREFIX, answer-lost, leader,
 // report NODE, report NODE/MACHINE or done JOB.
 func (r *runner) when(t *testing.T, d *datadriven.TestData) string {
 	if len(d.CmdArgs) < 2 || moments[d.CmdArgs[1].Key] == 0 || d.CmdArgs[0].Key != "before" && d.CmdArgs[0].Key != "after" {
 		d.Fatalf(t, "when needs before or after, and a moment")
 	}
 	m, what := moments[d.CmdArgs[1].Key], ""
-	if len(d.CmdArgs) > 2 {
+	if len(d.CmdArgs) > 2 && d.CmdArgs[2].Key != "in" {
 		what = d.CmdArgs[2].Key
 	}
 	if m == onReport && what != "" {
@@ -170,7 +170,7 @@
 		}
 		commands = append(commands, &datadriven.TestData{Pos: d.Pos, Cmd: cmd, CmdArgs: args})
 	}
-	r.c.when(m, what, d.CmdArgs[0].Key == "before", func() {
+	run := func() {
 		r.inMoment = true
 		for _, k := range commands {
 			if out := r.command(t, k); out != "" {
@@ -178,6 +178,14 @@
 			}
 		}
 		r.inMoment = false
+	}
+	in := duration(t, d, arg(d, "in", "0s"))
+	r.c.when(m, what, d.CmdArgs[0].Key == "before", func() {
+		if in > 0 {
+			r.c.after(in, run)
+			return
+		}
+		run()
 	})
 	return ""
 }
