--- /dev/null
+++ b/internal/standin/checks_test.go
@@ -0,0 +1,109 @@
+package standin
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// breaking starts a cluster with an accepted job of four tasks, lets f bring trouble
+// about, and expects just the named rules to be broken.
+func breaking(t *testing.T, f func(c *Cluster, j *userJob), rules ...string) {
+	t.Helper()
+	c := New(Options{Seed: 1, Nodes: 3, Machines: 2})
+	c.Advance(3 * time.Second)
+	spec := protocol.Job{ID: "run-000001", Class: "one", Team: "red", Kind: protocol.Batch, Priority: protocol.Standard,
+		Tasks: 4, CPUs: 1, MemGB: 1, Image: "img-0", ImageGB: 1, Estimate: time.Minute}
+	c.Submit(c.Leader(), spec, time.Minute, false, func(int, string) {})
+	for !c.jobs[spec.ID].accepted {
+		c.Advance(time.Millisecond)
+	}
+	f(c, c.jobs[spec.ID])
+	found := map[string]bool{}
+	for _, b := range c.Broken() {
+		rule, _, _ := strings.Cut(b, " ")
+		found[rule] = true
+	}
+	for _, rule := range rules {
+		if !found[rule] {
+			t.Errorf("%s isn't noticed: %v", rule, c.Broken())
+		}
+		delete(found, rule)
+	}
+	for rule := range found {
+		t.Errorf("%s is noticed: %v", rule, c.Broken())
+	}
+}
+
+// TestChecks sees to it that broken rules are noticed.
+func TestChecks(t *testing.T) {
+	breaking(t, func(c *Cluster, _ *userJob) { c.Calm(); c.Advance(2 * time.Minute) })
+	breaking(t, func(c *Cluster, _ *userJob) { // nobody answers, and nothing is placed
+		for _, n := range c.nodes {
+			n.freeze()
+		}
+		c.Calm()
+		c.Advance(2 * time.Minute)
+	}, "forgotten", "left_waiting")
+	breaking(t, func(c *Cluster, j *userJob) { // a final state that another node contradicts, asked at the same time
+		c.tell(j, 0, protocol.JobAnswer(j.spec.ID, protocol.Cancelled))
+		c.tell(j, 0, protocol.JobAnswer(j.spec.ID, protocol.Done))
+	}, "went_back", "not_done")
+	breaking(t, func(c *Cluster, j *userJob) { // an older answer
+		j.asked = true
+		c.tell(j, 0, protocol.JobAnswer(j.spec.ID, protocol.Cancelled))
+		c.tell(j, j.told, protocol.JobAnswer(j.spec.ID, protocol.Queued))
+	}, "went_back")
+	breaking(t, func(c *Cluster, j *userJob) { // an order that is sent, and a task that goes on, after a cancellation
+		j.asked = true
+		c.tell(j, 0, protocol.JobAnswer(j.spec.ID, protocol.Cancelled))
+		w := c.workers["vm-000000"]
+		w.hang(true)
+		w.begin(protocol.Order{Job: j.spec.ID, Index: 3, Attempt: 9}, c.now.Add(2*time.Second))
+		w.begin(protocol.Order{Job: j.spec.ID, Index: 3, Attempt: 10}, c.now.Add(4*time.Second))
+	}, "started_cancelled")
+	breaking(t, func(c *Cluster, j *userJob) { // a hung machine that never loses its lease
+		c.Advance(2 * time.Second)
+		j.asked = true
+		c.tell(j, 0, protocol.JobAnswer(j.spec.ID, protocol.Cancelled))
+		for _, n := range c.nodes {
+			n.freeze()
+		}
+		for range 45 {
+			for _, w := range c.workers {
+				w.answered = c.now
+				w.armLease()
+			}
+			c.Advance(time.Second)
+		}
+	}, "ran_cancelled")
+	breaking(t, func(c *Cluster, j *userJob) { // a job that can't run, known to a node
+		j.spec.CPUs = 1000
+		c.Poll(0, j.spec.ID, func(int, string) {})
+		c.Advance(time.Second)
+	}, "invented")
+	breaking(t, func(c *Cluster, _ *userJob) { // one that nobody sent, answered all the same
+		delete(c.jobs, "run-000001")
+		c.Poll(0, "run-000001", func(int, string) {})
+		c.CancelJob(0, "run-000001", func(int, string) {})
+		c.Advance(time.Second)
+	}, "invented")
+}
+
+// TestMoments sees to it that what is placed at a moment runs once, and on its side.
+func TestMoments(t *testing.T) {
+	c := New(Options{Seed: 1, Nodes: 3, Machines: 2})
+	var order []string
+	note := func(s string) func() { return func() { order = append(order, s) } }
+	c.when(onWrite, "b/q/", false, note("after"))
+	c.when(onWrite, "b/q/", true, note("before"))
+	c.when(onWrite, "b/f/", true, note("never"))
+	for range 2 {
+		c.around(onWrite, []string{"e/term", "b/q/run-000001"}, note("write"))
+	}
+	if got := strings.Join(order, " "); got != "before write after write" {
+		t.Error(got)
+	}
+}
