--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -314,6 +314,9 @@
 			c.state.slow, c.state.slowShare = time.Duration(200+rng.IntN(4000))*time.Millisecond, 0.05+rng.Float64()/2
 			later(25, func() { c.state.slowShare = 0 })
 		case 35: // one-task jobs four a second, a quarter of them cancelled
+			if count > 400 {
+				return
+			}
 			for i := range 80 {
 				c.after(time.Duration(i)*250*time.Millisecond, func() {
 					submit(func(j *protocol.Job) { j.Kind, j.Tasks, j.Spread, j.CPUs = protocol.Batch, 1, false, 0.25 })
@@ -458,6 +461,7 @@
 		t.Log(f) // during the troubles it may be so
 	}
 	for _, id := range accepted {
+		c.Advance(25 * time.Millisecond) // within what the state service takes
 		c.Poll(0, id, func(status int, text string) {
 			if status != 200 || !strings.HasPrefix(text, "done") && !strings.HasPrefix(text, "aborted") {
 				t.Errorf("%s in the end: %d %s", id, status, text)
