--- a/internal/standin/moments.go
+++ b/internal/standin/moments.go
@@ -26,12 +26,18 @@
 	moment moment
 	what   string
 	before bool
+	passes int // such moments that it lets go by first
 	run    func()
 }
 
 // when does something once, right before or after a moment.
 func (c *Cluster) when(m moment, what string, before bool, run func()) {
-	c.hooks = append(c.hooks, &hook{m, what, before, run})
+	c.whenNext(m, what, before, 0, run)
+}
+
+// whenNext is when for a later moment of the kind: it lets some pass first.
+func (c *Cluster) whenNext(m moment, what string, before bool, passes int, run func()) {
+	c.hooks = append(c.hooks, &hook{m, what, before, passes, run})
 }
 
 // around lets a moment pass, with what is to be done before and after it.
@@ -45,19 +51,24 @@
 	if len(c.hooks) == 0 {
 		return
 	}
-	// One at a time, the oldest first: what several are to do in turn, at the first
-	// leader, the second and so on, is told by several hooks.
-	i := slices.IndexFunc(c.hooks, func(h *hook) bool {
-		return h.moment == m && h.before == before && (h.what == "" || slices.ContainsFunc(names, func(name string) bool {
+	var due []*hook
+	c.hooks = slices.DeleteFunc(c.hooks, func(h *hook) bool {
+		hit := h.moment == m && h.before == before && (h.what == "" || slices.ContainsFunc(names, func(name string) bool {
 			if m == onWrite {
 				return strings.HasPrefix(name, h.what)
 			}
 			return name == h.what
 		}))
+		if hit && h.passes > 0 {
+			h.passes--
+			return false
+		}
+		if hit {
+			due = append(due, h)
+		}
+		return hit
 	})
-	if i >= 0 {
-		h := c.hooks[i]
-		c.hooks = slices.Delete(c.hooks, i, i+1)
+	for _, h := range due {
 		h.run()
 	}
 }
