--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -183,3 +183,37 @@
 		t.Errorf("the key goes with lease %d", txn.Then[0].Lease)
 	}
 }
+
+// A start in an answer to a report is carried out before the worker's next report, or
+// never. A response of the worker's may be older than that answer, and so may prove
+// nothing by lacking the task; the next report does, and the start is sent once more.
+func TestStartInAnswer(t *testing.T) {
+	n, l := leading(active)
+	j, _ := running(n, l, 4)
+	n.Request(n.now, 1, "POST", protocol.PathReport, report(3))
+	m := l.machines["vm-1"]
+	a := &attempt{job: j, number: 1, machine: m, recorded: true, sentSession: 1, sentSeq: 3}
+	l.attach(a)
+	r, err := protocol.ParseReport(report(4))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.stopAttempt(a, 0)
+	l.takeReport(m, r, false) // on its way since before the answer
+	if j.task(0).live != a {
+		t.Fatal("a response that may be older than the start proves it gone")
+	}
+	n.Request(n.now, 2, "POST", protocol.PathReport, report(5))
+	if j.task(0).live == a {
+		t.Error("the next report lacks it, and it still counts")
+	}
+}
+
+// A leader that a worker shows a later term's token answers nobody any more.
+func TestLaterTermEndsLeadership(t *testing.T) {
+	n, l := leading(active)
+	body := protocol.EncodeReport(&protocol.Report{Machine: "vm-1", Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: 4, Token: (l.term + 1) << 16})
+	if e := n.Request(n.now, 1, "POST", protocol.PathReport, body); e.Replies[0].Status != 421 || n.lead != nil {
+		t.Errorf("got %d, leads %t", e.Replies[0].Status, n.lead != nil)
+	}
+}
