A new session has its whole lease before its silence proves anything

A machine whose reports reach no controller loses its lease and goes on in new sessions, in which direct commands start tasks. The proof by silence counted from the last answered report, of a session long over: once the machine was cut off as well, its tasks were taken for ended at once and started elsewhere while they ran.

--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -27,7 +27,7 @@
 	reconciled bool      // its tasks were compared with the records
 	tookOver   time.Time // when it was first heard with a token of this term
 	heard      time.Time // last sign of life
-	answered   time.Time // last time a report of it was answered
+	answered   time.Time // last time a report of it was answered, or its session may have begun
 	reportSeq  uint64    // highest of a report of this session, responses aside
 	// Reports may arrive while answers and commands don't reach the worker, and a
 	// report may be a late copy. Neither is a sign that the machine is of use to us:
@@ -191,6 +191,11 @@
 	if newSession {
 		m.images.reset()
 		m.reportSeq = 0
+		// A session has its whole lease from its beginning, which was no later than now,
+		// whether or not a report of it is ever answered. A machine whose reports reach
+		// nobody gets its work by direct starts all the same, session after session; when
+		// it then fell silent, its tasks were taken for ended long before they were.
+		m.answered = n.now
 	}
 	switch {
 	case !reported:
