--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -292,8 +292,10 @@
 	for _, l := range list {
 		k := c.links[l]
 		delete(c.links, l)
+		var wait time.Duration
 		for _, f := range k.held {
-			c.after(c.delay(), f)
+			wait = max(wait, c.delay()) // in the order in which they were sent
+			c.after(wait, f)
 		}
 	}
 }
