Reports and the state service's answers are decoded by segmentio/encoding

In the core's benchmarks half of what a report takes is its decoding.

The library follows nested values with its stack, up to 64 MB for 200,000 of them; bodies with more than 10,000 brackets go to encoding/json, which refuses them.

TestReportAllocations holds a report of 12 tasks to 34 allocations, from 44.

--- /dev/null
+++ b/internal/protocol/decode.go
@@ -0,0 +1,22 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/json"
+
+	fast "github.com/segmentio/encoding/json"
+)
+
+// maxNested is how deeply encoding/json takes values to be nested.
+const maxNested = 10000
+
+// decode reads what comes often: reports, and answers of the state service. It takes
+// and refuses what encoding/json does (FuzzDecode), in a third of the time. The library
+// follows nested values with its stack, however deep, so what might be nested too
+// deeply goes to encoding/json, which refuses it.
+func decode(body []byte, v any) error {
+	if bytes.Count(body, []byte{'['})+bytes.Count(body, []byte{'{'}) > maxNested {
+		return json.Unmarshal(body, v)
+	}
+	return fast.Unmarshal(body, v)
+}
--- /dev/null
+++ b/internal/protocol/decode_test.go
@@ -0,0 +1,71 @@
+package protocol
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// decoded are the shapes that decode reads.
+var decoded = []func() any{
+	func() any { return new(wireReport) },
+	func() any { return new(wireItem) },
+	func() any { return new(wireEvents) },
+}
+
+func checkDecode(t *testing.T, body []byte) {
+	for _, shape := range decoded {
+		want, got := shape(), shape()
+		wantErr, gotErr := json.Unmarshal(body, want), decode(append([]byte(nil), body...), got)
+		if (wantErr == nil) != (gotErr == nil) {
+			t.Fatalf("%.200q into %T: encoding/json says %v, decode %v", body, want, wantErr, gotErr)
+		}
+		if wantErr == nil && !reflect.DeepEqual(want, got) {
+			t.Fatalf("%.200q: encoding/json reads %+v, decode %+v", body, want, got)
+		}
+	}
+}
+
+// FuzzDecode holds decode to what encoding/json takes, reads and refuses.
+func FuzzDecode(f *testing.F) {
+	for _, s := range []string{
+		`{"deck":"a","watch":1,"logSeq":2,"oars":[{"oar":"x/1","launch":1,"bearing":"running","kept":true}]}`,
+		`{"DECK":"a","watch":null,"helm":18446744073709551615}`, `{"helm":18446744073709551616}`,
+		`{"recallS":1e3,"oars":null}`, `{"deck":"\ud800\u0041\n"}`, `{"a":[1,{"b":[]}],"deck":"x"} `,
+		`{"helm":1.0}`, `{"helm":01}`, `{"helm":-1}`, `{"helm":"1"}`, `[]`, `null`, ``, ` `, `{`, `{"deck":"a","deck":"b"}`,
+		"{\"deck\":\"\xff\"}", "{\"deck\":\"\x01\"}", `{"deck":"a"}x`, `{"deck":"a",}`, `{"oars":[{},]}`,
+		`{"driftwood":1}`, `{"driftwood":tru}`, `{"recallS":1e999}`, `{"recallS":.5}`, `{"x":+1}`, `{"x":1.}`,
+		`{"x":"\q"}`, `{"oarſ":[]}`, `{"path":"a","data":{"x":[1, 2]},"entry":3,"warrant":4}`, `{"path":"a","data":nul}`,
+		`{"logbook":1,"news":[{"write":"k","data":{"a":1},"entry":2},{"remove":"k","entry":3}]}`, `{"news":[{"data":"\u00zz"}]}`,
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(checkDecode)
+}
+
+// TestDecodeNested has values nested as deeply as a body can hold.
+func TestDecodeNested(t *testing.T) {
+	for _, n := range []int{100, maxNested - 2, maxNested - 1, maxNested, maxNested + 1, 30000} {
+		checkDecode(t, []byte(`{"x":`+strings.Repeat("[", n)+strings.Repeat("]", n)+`}`))
+		checkDecode(t, []byte(strings.Repeat(`{"x":`, n)+"1"+strings.Repeat("}", n)))
+	}
+}
+
+// TestReportAllocations holds what reading a report costs: a leader reads one of each
+// machine every few seconds, and the answers to its calls.
+func TestReportAllocations(t *testing.T) {
+	r := &Report{Machine: "vm-000123", Addr: "10.3.0.12:8080", Type: "small", Zone: "a", Session: 1, Seq: 123, Token: 1 << 32}
+	for i := range 12 {
+		r.Tasks = append(r.Tasks, TaskReport{Job: "run-000123", Index: i, Attempt: 1, State: Running})
+	}
+	body := EncodeReport(r)
+	allocs := testing.AllocsPerRun(100, func() {
+		if _, err := ParseReport(body); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if most := 34.0; allocs > most {
+		t.Errorf("a report of 12 tasks takes %v allocations, more than %v", allocs, most)
+	}
+}
