Workers are asked after a report interval of silence, and dials set no keep-alive

A dead machine is found about a second later; nothing is proven by a probe's time.

Where reports are 1.5 s apart nothing changes.

A dial of ours made five settings of its socket and makes one; calls have limits of their own.

--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -28,14 +28,19 @@
 	return max(l.n.cfg.ReportInterval*2+time.Second, 4*time.Second)
 }
 
-// Times of silence after which a worker is asked, and after which it is given
-// up if it doesn't answer that either. Reports may be seconds apart; a worker
+// Times of silence after which a worker is asked at the soonest, and after which it is
+// given up if it doesn't answer that either. Reports may be seconds apart; a worker
 // that lives answers within milliseconds.
 const (
-	probeAfter  = 2 * time.Second
-	giveUpAfter = 3500 * time.Millisecond
+	minProbeAfter = 2 * time.Second
+	giveUpAfter   = 3500 * time.Millisecond
 )
 
+// probeAfter is the silence after which a worker is asked. Where reports are further
+// apart, asking between them took as many calls as there were reports, and finds what
+// is dead a second sooner.
+func (l *lead) probeAfter() time.Duration { return max(minProbeAfter, l.n.cfg.ReportInterval) }
+
 // A machine that nothing of ours was seen to reach for this long is asked, and
 // given up when that fails for longer still, although its reports arrive.
 func (l *lead) reachAfter() time.Duration { return 2*l.n.cfg.ReportInterval + time.Second }
@@ -133,7 +138,7 @@
 				lost++
 			}
 		}
-		if d > probeAfter || m.up && m.reached.IsZero() || out > l.reachAfter() || m.probeFails > 0 {
+		if d > l.probeAfter() || m.up && m.reached.IsZero() || out > l.reachAfter() || m.probeFails > 0 {
 			ask = append(ask, m)
 		}
 		if d > l.releaseAfter() || d > giveUpAfter && m.probeFails >= 3 || out > l.deafAfter() && m.probeFails >= 4 {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -438,7 +438,9 @@
 		l.Post(func() { l.dials--; l.finish(c, 0, nil, ErrNotSent); l.dialNext() })
 		return
 	}
-	conn, err := net.DialTimeout("tcp", c.addr, wait)
+	// Keep-alive would take four system calls; calls have limits of their own.
+	dialer := net.Dialer{Timeout: wait, KeepAlive: -1}
+	conn, err := dialer.Dial("tcp", c.addr)
 	if err != nil {
 		l.Post(func() { l.dials--; l.finish(c, 0, nil, ErrNotSent); l.dialNext() })
 		return
