--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -90,7 +90,9 @@
 	if o.ImageWeight != 2.5 || o.Spot || o.RoomWeight != DefaultOperator().RoomWeight {
 		t.Errorf("got %+v", o)
 	}
-	for _, bad := range []string{`{"imageWeight": "1"}`, `{"nope": 1}`, `[]`, `{"idleSeconds": -1}`, `{`} {
+	for _, bad := range []string{`{"imageWeight": "1"}`, `{"nope": 1}`, `[]`, `{"idleSeconds": -1}`, `{`,
+		`null`, `{} {}`, `{"ImageWeight": 1}`, `{"imageWeight": 1001}`, `{"imageWeight": null}`, `{"leaderLeaseSeconds": 0.5}`,
+		`{"spot": 1}`, `{"headroomShare": [1]}`} {
 		if err := ParseOperator([]byte(bad), &o); err == nil {
 			t.Errorf("%s is taken", bad)
 		}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,14 +1,13 @@
 package config
 
 import (
-	"bytes"
 	_ "embed"
 	"encoding/json"
 	"fmt"
 	"os"
 	"time"
 
-	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/google/jsonschema-go/jsonschema"
 )
 
 //go:embed operator.schema.json
@@ -57,23 +56,19 @@
 
 // ParseOperator checks raw against the schema and sets what it names in o.
 func ParseOperator(raw []byte, o *Operator) error {
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(operatorSchema))
-	if err != nil {
-		return err
-	}
-	compiler := jsonschema.NewCompiler()
-	if err := compiler.AddResource("operator.schema.json", doc); err != nil {
+	var schema jsonschema.Schema
+	if err := json.Unmarshal(operatorSchema, &schema); err != nil {
 		return err
 	}
-	schema, err := compiler.Compile("operator.schema.json")
+	resolved, err := schema.Resolve(nil)
 	if err != nil {
 		return err
 	}
-	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
-	if err != nil {
+	var value any
+	if err := json.Unmarshal(raw, &value); err != nil {
 		return fmt.Errorf("operator settings: %w", err)
 	}
-	if err := schema.Validate(value); err != nil {
+	if err := resolved.Validate(value); err != nil {
 		return fmt.Errorf("operator settings: %w", err)
 	}
 	return json.Unmarshal(raw, o)
