--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -217,3 +217,27 @@
 		t.Errorf("got %d, leads %t", e.Replies[0].Status, n.lead != nil)
 	}
 }
+
+// A session has its whole lease from its beginning, whether or not a report of it is ever
+// answered: a machine whose reports reach nobody gets work by direct starts in it, and when
+// it then falls silent its tasks go on until that lease is over. Counted from the last
+// answer, in a session before, they were taken for ended and started elsewhere meanwhile.
+func TestSessionHasItsWholeLease(t *testing.T) {
+	n, l := leading(active)
+	n.Request(n.now, 1, "POST", protocol.PathReport, report(3))
+	m := l.machines["vm-1"]
+	answered := m.answered
+	n.now = n.now.Add(10 * time.Second)
+	r, err := protocol.ParseReport(report(5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Session, r.Token = 2, l.machineToken(m)
+	l.takeReport(m, r, false) // a response: its reports don't come
+	if proof := l.silentProof(m); proof.Before(n.now.Add(n.cfg.WorkerLease)) {
+		t.Errorf("taken for dead %s after its session began, its lease is %s", proof.Sub(n.now), n.cfg.WorkerLease)
+	}
+	if m.answered != answered {
+		t.Error("a session that began counts as a report that was answered")
+	}
+}
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -253,7 +253,7 @@
 		// direct command says nothing of when that was.
 		last = m.tookOver
 	}
-	last = latest(last, m.answered)
+	last = latest(last, m.answered, m.began)
 	return last.Add(c.WorkerLease + drift(c.WorkerLease) + proofMargin)
 }
 
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -27,7 +27,8 @@
 	reconciled bool      // its tasks were compared with the records
 	tookOver   time.Time // when it was first heard with a token of this term
 	heard      time.Time // last sign of life
-	answered   time.Time // last time a report of it was answered, or its session may have begun
+	answered   time.Time // last time a report of it was answered
+	began      time.Time // when its session was first heard of; it began no later
 	reportSeq  uint64    // highest of a report of this session, responses aside
 	// Reports may arrive while answers and commands don't reach the worker, and a
 	// report may be a late copy. Neither is a sign that the machine is of use to us:
@@ -195,7 +196,7 @@
 		// whether or not a report of it is ever answered. A machine whose reports reach
 		// nobody gets its work by direct starts all the same, session after session; when
 		// it then fell silent, its tasks were taken for ended long before they were.
-		m.answered = n.now
+		m.began = n.now
 	}
 	switch {
 	case !reported:
