--- a/internal/standin/calm.go
+++ b/internal/standin/calm.go
@@ -34,6 +34,7 @@
 		return
 	}
 	unfinished := c.ids(func(j *userJob) bool { return j.accepted && j.told == 0 })
+	p := c.placement()
 	for _, id := range unfinished {
 		j := c.jobs[id]
 		if c.now.Sub(j.polled) >= pollEvery {
@@ -41,7 +42,7 @@
 			c.Poll(c.rng.IntN(len(c.nodes)), id, func(int, string) {})
 		}
 		switch {
-		case j.asked || j.bad || j.failures > 0 || !c.waitsBeside(j):
+		case j.asked || j.bad || j.failures > 0 || !c.waitsBeside(j, p):
 			j.waits = time.Time{}
 		case j.waits.IsZero() || j.began.After(j.waits):
 			j.waits = c.now
@@ -53,61 +54,74 @@
 	c.after(2*time.Second, c.calmStep)
 }
 
+// placement is what is placed where at a moment, tasks that wait for their image
+// included.
+type placement struct {
+	taken map[string]float64        // CPUs, by team
+	jobs  map[string]map[string]int // tasks, by job and zone
+	rooms []room
+}
+
+// room is what a machine that should take tasks has left.
+type room struct {
+	w         *worker
+	cpus, mem float64
+}
+
+func (c *Cluster) placement() *placement {
+	p := &placement{taken: map[string]float64{}, jobs: map[string]map[string]int{}}
+	for _, h := range c.cloud.hosts {
+		w := h.worker
+		if w == nil || w.dead {
+			continue
+		}
+		r := room{w, w.spec.CPUs, w.spec.MemGB}
+		for _, t := range w.tasks {
+			j := c.jobs[t.job]
+			if j == nil || t.state == protocol.Exited {
+				continue
+			}
+			p.taken[j.spec.Team] += j.spec.CPUs
+			if p.jobs[t.job] == nil {
+				p.jobs[t.job] = map[string]int{}
+			}
+			p.jobs[t.job][h.zone]++
+			r.cpus -= j.spec.CPUs
+			r.mem -= j.spec.MemGB
+		}
+		// One that is just up may be meant for other work, or not be heard of yet.
+		if r.cpus > 0 && !w.hung && !w.mute && !w.wasSick && w.notice.IsZero() && c.now.Sub(h.up) >= waitBeside/3 {
+			p.rooms = append(p.rooms, r)
+		}
+	}
+	return p
+}
+
 // waitsBeside reports whether a job has a task that is nowhere while a machine has
 // room for it.
-func (c *Cluster) waitsBeside(j *userJob) bool {
+func (c *Cluster) waitsBeside(j *userJob, p *placement) bool {
 	s := &j.spec
 	for _, team := range c.settings.Teams {
-		if team.Name == s.Team && c.taken(s.Team)+s.CPUs > team.CPUsMax+protocol.Epsilon {
+		if team.Name == s.Team && p.taken[s.Team]+s.CPUs > team.CPUsMax+protocol.Epsilon {
 			return false
 		}
 	}
-	placed, zones := 0, map[string]int{}
-	for _, h := range c.cloud.hosts {
-		if w := h.worker; w != nil && !w.dead {
-			for _, t := range w.tasks {
-				if t.job == s.ID && t.state != protocol.Exited {
-					placed++
-					zones[h.zone]++
-				}
-			}
-		}
+	zones, placed := p.jobs[s.ID], 0
+	for _, n := range zones {
+		placed += n
 	}
 	if placed+len(j.completed) >= s.Tasks {
 		return false
 	}
-	for _, h := range c.cloud.hosts {
-		w := h.worker
-		if w == nil || w.dead || w.hung || w.mute || w.wasSick || !w.notice.IsZero() || c.now.Sub(h.up) < waitBeside/3 ||
-			!s.AllowsType(h.typ) || s.Zone != "" && s.Zone != h.zone || h.spot && !s.Spot ||
+	for _, r := range p.rooms {
+		h := r.w.host
+		if !s.AllowsType(h.typ) || s.Zone != "" && s.Zone != h.zone || h.spot && !s.Spot ||
 			s.OneZone && len(zones) > 0 && zones[h.zone] == 0 || s.Spread && zones[h.zone] >= (s.Tasks+1)/2 {
 			continue
 		}
-		cpus, mem := w.spec.CPUs-s.CPUs, w.spec.MemGB-s.MemGB
-		for _, t := range w.tasks {
-			if x := c.jobs[t.job]; x != nil && t.state != protocol.Exited {
-				cpus -= x.spec.CPUs
-				mem -= x.spec.MemGB
-			}
-		}
-		if cpus >= -protocol.Epsilon && mem >= -protocol.Epsilon {
+		if s.CPUs <= r.cpus+protocol.Epsilon && s.MemGB <= r.mem+protocol.Epsilon {
 			return true
 		}
 	}
 	return false
 }
-
-// taken is what a team's tasks take, those that wait for their image included.
-func (c *Cluster) taken(team string) float64 {
-	sum := 0.0
-	for _, h := range c.cloud.hosts {
-		if w := h.worker; w != nil && !w.dead {
-			for _, t := range w.tasks {
-				if j := c.jobs[t.job]; j != nil && j.spec.Team == team && t.state != protocol.Exited {
-					sum += j.spec.CPUs
-				}
-			}
-		}
-	}
-	return sum
-}
