Workers of a zone are asked sooner where one doesn't answer

Now all of a zone are asked after 2 s, as before, once a worker of it hasn't answered.

Tests: nobody is asked between reports that are in time; a doubtful zone is asked sooner (red without the change); machines behind a cut aren't given up with reports 1.5 to 4 s apart (green with and without it).

--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -38,8 +38,14 @@
 
 // probeAfter is the silence after which a worker is asked. Where reports are further
 // apart, asking between them took as many calls as there were reports, and finds what
-// is dead a second sooner.
-func (l *lead) probeAfter() time.Duration { return max(minProbeAfter, l.n.cfg.ReportInterval) }
+// is dead a second sooner. In a zone where one doesn't answer the others are asked at
+// the soonest, or the first would be given up before a cut is seen.
+func (l *lead) probeAfter(zone string) time.Duration {
+	if l.fleet.doubtful[zone] {
+		return minProbeAfter
+	}
+	return max(minProbeAfter, l.n.cfg.ReportInterval)
+}
 
 // A machine that nothing of ours was seen to reach for this long is asked, and
 // given up when that fails for longer still, although its reports arrive.
@@ -90,7 +96,7 @@
 		return
 	}
 	var silent, ask []*machine
-	zones := map[string]*reach{}
+	zones, doubtful := map[string]*reach{}, map[string]bool{}
 	lost, known, inherited, heard, mute := 0, 0, 0, 0, 0
 	for _, m := range l.fleetList {
 		if m.inherited && (m.up || len(m.attempts) > 0) { // others may be booting yet
@@ -132,19 +138,23 @@
 		if late {
 			z.late++
 		}
+		if m.probeFails > 0 {
+			doubtful[m.zone] = true
+		}
 		if m.up {
 			known++
 			if m.probeFails >= 2 {
 				lost++
 			}
 		}
-		if d > l.probeAfter() || m.up && m.reached.IsZero() || out > l.reachAfter() || m.probeFails > 0 {
+		if d > l.probeAfter(m.zone) || m.up && m.reached.IsZero() || out > l.reachAfter() || m.probeFails > 0 {
 			ask = append(ask, m)
 		}
 		if d > l.releaseAfter() || d > giveUpAfter && m.probeFails >= 3 || out > l.deafAfter() && m.probeFails >= 4 {
 			silent = append(silent, m)
 		}
 	}
+	l.fleet.doubtful = doubtful
 	l.probeSome(ask)
 	// Only machines that this leader has heard count: when those are lost to it,
 	// another node may still reach them. Where it doesn't, it won't have heard them
--- /dev/null
+++ b/internal/coordination/silence_test.go
@@ -0,0 +1,109 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// cutZone has the calls to twelve machines of a zone time out, whose last reports came
+// at different times of an interval, and gives the first that is given up within span.
+func cutZone(t *testing.T, interval, span time.Duration) (given string, asked int) {
+	t.Helper()
+	n, l := leading(active)
+	n.cfg.ReportInterval = interval
+	start := n.now
+	var cut, others []*machine
+	for i := range 30 {
+		m := l.newMachine(fmt.Sprintf("vm-%02d", i), "small", "b", false)
+		m.up, m.recorded, m.session, m.addr = true, true, 1, fmt.Sprintf("addr-%02d", i)
+		m.heard, m.reached, m.firstHeard = n.now, n.now, n.now
+		if i < 12 {
+			m.zone = "a"
+			m.heard = n.now.Add(-interval * 5 / 4 * time.Duration(i) / 12) // the longest between reports
+			cut = append(cut, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	type probe struct {
+		id uint64
+		at time.Time
+	}
+	var open []probe
+	calls := func(e Effects) {
+		for _, c := range e.Calls {
+			if c.To == Worker && c.Target == protocol.PathShow {
+				asked++
+				open = append(open, probe{c.ID, n.now.Add(c.Timeout)})
+			}
+		}
+	}
+	for now := start; now.Sub(start) < span; now = now.Add(50 * time.Millisecond) {
+		for _, m := range others {
+			m.heard, m.reached = now, now
+		}
+		for len(open) > 0 && !open[0].at.After(now) {
+			id := open[0].id
+			open = open[1:]
+			calls(n.Result(now, id, Outcome{}))
+		}
+		calls(n.Tick(now))
+		for _, m := range cut {
+			if m.releasing {
+				return m.name, asked
+			}
+		}
+	}
+	return "", asked
+}
+
+// Machines that a cut parts from the leader are kept, however far apart reports come.
+func TestCutIsSeenBeforeMachinesAreGivenUp(t *testing.T) {
+	for _, interval := range []time.Duration{1500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		if given, asked := cutZone(t, interval, 12*time.Second); given != "" || asked < 12 {
+			t.Errorf("reports each %s: %q is given up, %d times asked", interval, given, asked)
+		}
+	}
+}
+
+// Between reports that come in time nobody is asked.
+func TestNoProbesBetweenReports(t *testing.T) {
+	n, l := leading(active)
+	n.cfg.ReportInterval = 4 * time.Second
+	m := addTestMachine(l, "vm-1", true)
+	m.addr, m.reached, m.firstHeard = "x", n.now, n.now
+	for since := time.Duration(0); since < 4*time.Second; since += watchInterval {
+		n.now = m.heard.Add(since)
+		l.watchMachines()
+	}
+	if m.probing {
+		t.Error("a machine is asked before its report is due")
+	}
+	n.now = m.heard.Add(4*time.Second + watchInterval)
+	l.watchMachines()
+	if !m.probing {
+		t.Error("a machine that is late isn't asked")
+	}
+}
+
+// Where one worker of a zone doesn't answer, the others of it are asked sooner.
+func TestDoubtfulZoneIsAskedSooner(t *testing.T) {
+	n, l := leading(active)
+	n.cfg.ReportInterval = 4 * time.Second
+	lost, near, far := addTestMachine(l, "vm-1", true), addTestMachine(l, "vm-2", true), addTestMachine(l, "vm-3", true)
+	for _, m := range []*machine{lost, near, far} {
+		m.addr, m.reached, m.firstHeard = "x", n.now, n.now
+	}
+	lost.probeFails, far.zone = 1, "b"
+	n.now = n.now.Add(minProbeAfter)
+	l.watched = n.now // it hasn't stood still meanwhile
+	l.watchMachines() // sees the doubt
+	n.now = n.now.Add(watchInterval)
+	l.watchMachines()
+	if !near.probing || far.probing {
+		t.Errorf("asked: the same zone %t, another %t", near.probing, far.probing)
+	}
+}
