--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -69,6 +69,7 @@
 	reports    uint64           // taken, to tell which attempts the latest one holds
 	imageIDs   map[string]int32
 	stepDirect []*machine // machines with orders to send at the end of the step
+	withheld   []*machine // machines whose starts wait for fresh knowledge
 }
 
 // usage is what a team's attempts take, those not proven gone included.
@@ -239,6 +240,15 @@
 	if at.After(l.known) {
 		l.known = at
 	}
+	// A leader that is behind reads its watches late, and is short of fresh knowledge most
+	// of the time: what it withheld goes out now, and doesn't wait for the machines' reports.
+	if len(l.withheld) > 0 && l.mayStart() {
+		for _, m := range l.withheld {
+			m.withheld = false
+			l.directSoon(m)
+		}
+		l.withheld = l.withheld[:0]
+	}
 }
 
 // silentProof is when a machine that has been silent since the election has
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -59,6 +59,7 @@
 	directToken uint64 // of the last direct start: late copies of it die above it
 	directBusy  bool
 	directAsked bool
+	withheld    bool // starts wait until the leader's knowledge is fresh
 	directPause time.Time
 	probing     bool
 	probeFails  int // probes in a row without an answer
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -61,6 +61,7 @@
 	}
 	var orders []protocol.Order
 	var starts []*attempt
+	mayStart := l.mayStart()
 	for _, a := range m.sorted() {
 		switch {
 		case a.stop && a.seen && a.stopSent.IsZero():
@@ -68,7 +69,12 @@
 				a.stopSent = n.now
 				orders = append(orders, o)
 			}
-		case !a.stop && a.recorded && l.neverSent(a) && l.mayStart():
+		case !a.stop && a.recorded && l.neverSent(a) && !mayStart:
+			if !m.withheld {
+				m.withheld = true
+				l.withheld = append(l.withheld, m)
+			}
+		case !a.stop && a.recorded && l.neverSent(a):
 			starts = append(starts, a)
 			orders = append(orders, startOrder(a))
 		}
--- a/internal/coordination/rights_test.go
+++ b/internal/coordination/rights_test.go
@@ -148,8 +148,11 @@
 		t.Fatalf("a start is sent %s after all was known: %+v %+v", startsFor, orders, e.Calls)
 	}
 	l.learned(n.now)
-	e = n.Request(n.now, 3, "POST", protocol.PathReport, report(5))
-	if _, _, orders, _ := protocol.ParseOrders(e.Replies[0].Body); len(orders) != 1 || orders[0].Kind != protocol.Start {
+	calls := n.take().Calls
+	if len(calls) != 1 || calls[0].To != Worker || calls[0].Target != protocol.PathOrders {
+		t.Fatalf("got %+v, want the start that was withheld", calls)
+	}
+	if _, _, orders, _ := protocol.ParseOrders(calls[0].Body); len(orders) != 1 || orders[0].Kind != protocol.Start {
 		t.Errorf("got %+v, want the start", orders)
 	}
 }
