--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -26,7 +26,10 @@
 	Machines int      // ordinary ones that run from the start, in zones in turn
 	Capacity int      // machines that can be rented per type, zone and kind
 	Fleet    bool     // limits, budgets and intervals of a fleet of a thousand machines
-	Log      io.Writer
+	// Cost is the processor time of each event on a node: what comes faster waits, and
+	// timers fire late, as on a small share of a processor.
+	Cost time.Duration
+	Log  io.Writer
 }
 
 // event is something that happens at a time.
@@ -71,6 +74,7 @@
 	jobs     map[string]*userJob
 	links    map[link]*cut
 	used     map[string]float64 // CPUs, by team
+	cost     time.Duration      // of each event on a node
 	broken   []string
 	copies   bool // direct orders that were carried out arrive once more, later
 	// Reports arrive once more, after up to this long.
@@ -98,9 +102,11 @@
 	wakeAt time.Time
 	reqID  uint64
 	open   map[uint64]func(status int, body []byte)
-	silent bool     // without power: nothing on it even refuses a connection
-	frozen bool     // its process does nothing for now
-	queued []func() // what came meanwhile
+	silent bool      // without power: nothing on it even refuses a connection
+	frozen bool      // its process does nothing for now
+	queued []func()  // what came meanwhile
+	busy   time.Time // until when it has events to work at
+	ticks  bool      // a tick of the core is among them
 }
 
 // link is a direction between two hosts; cut is what happens on it.
@@ -124,7 +130,7 @@
 func New(o Options) *Cluster {
 	begin := time.Date(2026, 9, 21, 12, 0, 0, 0, time.UTC)
 	c := &Cluster{now: begin, begin: begin, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[string]*worker{},
-		jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}, kept: map[string][][]byte{}}
+		cost: o.Cost, jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}, kept: map[string][][]byte{}}
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
@@ -344,7 +350,7 @@
 func (n *node) crash() {
 	n.core = nil
 	n.open = nil
-	n.frozen, n.queued = false, nil
+	n.frozen, n.queued, n.ticks, n.busy = false, nil, false, time.Time{}
 	if n.wake != nil {
 		n.wake.run = nil
 		n.wake = nil
@@ -364,8 +370,26 @@
 	})
 }
 
-// run does f now, or when the process goes on, if it is still the same.
+// run does f now, or when the process comes to it, if it is still the same.
 func (n *node) run(f func()) {
+	c, core := n.c, n.core
+	if c.cost == 0 {
+		n.work(f)
+		return
+	}
+	if n.busy.Before(c.now) {
+		n.busy = c.now
+	}
+	c.after(n.busy.Sub(c.now), func() {
+		if n.core == core {
+			n.work(f)
+		}
+	})
+	n.busy = n.busy.Add(c.cost)
+}
+
+// work does f now, or when the process goes on.
+func (n *node) work(f func()) {
 	if n.frozen {
 		core := n.core
 		n.queued = append(n.queued, func() {
@@ -452,7 +476,7 @@
 		return
 	}
 	next := n.core.Next()
-	if next.IsZero() || n.wake != nil && n.wake.run != nil && !n.wakeAt.After(next) {
+	if n.ticks || next.IsZero() || n.wake != nil && n.wake.run != nil && !n.wakeAt.After(next) {
 		return
 	}
 	if n.wake != nil {
@@ -463,7 +487,11 @@
 	n.wake = n.c.after(next.Sub(n.c.now), func() {
 		n.wake = nil
 		if n.core == core {
-			n.run(func() { n.apply(core.Tick(n.c.now)) })
+			n.ticks = true
+			n.run(func() {
+				n.ticks = false
+				n.apply(core.Tick(n.c.now))
+			})
 		}
 	})
 }
