--- a/internal/coordination/grow.go
+++ b/internal/coordination/grow.go
@@ -257,15 +257,14 @@
 		used += b.offer.spec.CPUs - b.cpus // by what waits for it
 	}
 	want := l.headroom(used)
-	for _, o := range offers {
-		for free < want-protocol.Epsilon {
-			if len(bins) > max(rentAtOnce, len(l.fleetList)) {
-				return
-			}
-			b := rent(o)
-			free += b.cpus
+	if len(offers) == 0 {
+		return
+	}
+	for cheapest := offers[0]; free < want-protocol.Epsilon; {
+		if len(bins) > max(rentAtOnce, len(l.fleetList)) {
+			return
 		}
-		return // the cheapest that has capacity
+		free += rent(cheapest).cpus
 	}
 }
 
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -3,15 +3,13 @@
 import (
 	"bufio"
 	"context"
-	"crypto/tls"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
-
-	"golang.org/x/net/http2"
 )
 
 // Limits of the streams between controllers.
@@ -22,6 +20,7 @@
 	peerSilence  = 10 * time.Second
 	peerQueue    = 16
 	maxPeerConns = 16
+	acceptRetry  = 100 * time.Millisecond
 )
 
 // Peers keeps one HTTP/2 stream to each other controller, on which that
@@ -66,28 +65,61 @@
 }
 
 func (p *Peers) serve(ln net.Listener) {
-	server := &http2.Server{MaxConcurrentStreams: 4, IdleTimeout: time.Minute, ReadIdleTimeout: 15 * time.Second}
-	handler := http.HandlerFunc(p.events)
-	slots := make(chan struct{}, maxPeerConns)
+	server := &http.Server{
+		Handler:     http.HandlerFunc(p.events),
+		Protocols:   plainHTTP2(),
+		IdleTimeout: time.Minute,
+		HTTP2:       &http.HTTP2Config{MaxConcurrentStreams: 4, SendPingTimeout: 15 * time.Second},
+		ErrorLog:    slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
+	}
+	err := server.Serve(&boundedListener{Listener: ln, most: maxPeerConns})
+	p.log.Error("peers are served no more", "err", err)
+}
+
+// plainHTTP2 is HTTP/2 without encryption and nothing else.
+func plainHTTP2() *http.Protocols {
+	p := &http.Protocols{}
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+// boundedListener closes connections beyond a number at once.
+type boundedListener struct {
+	net.Listener
+	most int32
+	open atomic.Int32
+}
+
+// Accept implements net.Listener. Errors of accepting, such as a lack of sockets, pass.
+func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
-		c, err := ln.Accept()
-		if err != nil {
-			time.Sleep(100 * time.Millisecond)
-			continue
-		}
-		select {
-		case slots <- struct{}{}:
-			go func() {
-				defer func() { <-slots }()
-				defer c.Close()
-				server.ServeConn(c, &http2.ServeConnOpts{Handler: handler})
-			}()
-		default:
+		c, err := l.Listener.Accept()
+		switch {
+		case err != nil:
+			time.Sleep(acceptRetry)
+		case l.open.Add(1) > l.most:
+			l.open.Add(-1)
 			c.Close()
+		default:
+			return &boundedConn{Conn: c, listener: l}, nil
 		}
 	}
 }
 
+type boundedConn struct {
+	net.Conn
+	listener *boundedListener
+	closed   atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.listener.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
 func (p *Peers) events(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != peerPath || r.Method != http.MethodGet {
 		http.Error(w, "no such stream", http.StatusNotFound)
@@ -119,14 +151,11 @@
 }
 
 func (p *Peers) follow(addr string) {
-	transport := &http2.Transport{
-		AllowHTTP: true,
-		DialTLSContext: func(ctx context.Context, network, addr string, _ *tls.Config) (net.Conn, error) {
-			d := net.Dialer{Timeout: dialTimeout}
-			return d.DialContext(ctx, network, addr)
-		},
-		ReadIdleTimeout: 5 * time.Second,
-		PingTimeout:     5 * time.Second,
+	transport := &http.Transport{
+		Protocols:         plainHTTP2(),
+		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: 5 * time.Second, PingTimeout: 5 * time.Second},
+		ForceAttemptHTTP2: true,
 	}
 	for {
 		if err := p.stream(transport, addr); err != nil {
@@ -137,7 +166,7 @@
 	}
 }
 
-func (p *Peers) stream(t *http2.Transport, addr string) error {
+func (p *Peers) stream(t *http.Transport, addr string) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	// A peer tells something every second; one that doesn't is dialled anew.
