Leader and owner are types of their own: serving workers is parted from placing

Need: shards of machines are to be served by several controllers, with the code by which the leader serves all of them today.

Change: owner (owner.go, reports.go, orders.go, probes.go) answers reports, sends orders, asks silent workers and proves that attempts are gone; it tells an observer, who places. lead is an owner of all machines and its own observer (observe.go). Tokens come from a machine's tenure. No behaviour changes.

--- a/internal/coordination/attempts.go
+++ b/internal/coordination/attempts.go
@@ -14,9 +14,7 @@
 	j.task(a.task).live = a
 	j.live++
 	j.zones[m.zone]++
-	m.attempts[taskKey{j.ID, a.task}] = a
-	a.place = len(m.list)
-	m.list = append(m.list, a)
+	l.hold(a)
 	m.wanted.add(j.image, 1)
 	m.cpus += j.CPUs
 	if !j.Spot {
@@ -56,11 +54,7 @@
 	if j.zones[m.zone]--; j.zones[m.zone] == 0 {
 		delete(j.zones, m.zone)
 	}
-	delete(m.attempts, taskKey{j.ID, a.task})
-	last := m.list[len(m.list)-1]
-	m.list[a.place], last.place = last, a.place
-	m.list[len(m.list)-1] = nil
-	m.list = m.list[:len(m.list)-1]
+	l.drop(a)
 	m.wanted.add(j.image, -1)
 	if a.stop {
 		l.noteStop(a, -1)
@@ -189,17 +183,13 @@
 		l.noteStop(a, 1)
 	}
 	a.grace, a.stopSent = grace, time.Time{}
-	if l.neverSent(a) && !l.beingRecorded(a) {
+	if a.neverSent() && !l.beingRecorded(a) {
 		l.detach(a, "never sent")
 		return
 	}
 	l.directSoon(a.machine)
 }
 
-func (l *lead) neverSent(a *attempt) bool {
-	return !a.inherited && !a.seen && a.sentSession == 0 && !a.direct && a.directToken == 0
-}
-
 // beingRecorded reports whether a write that holds the attempt may be under
 // way; it is dealt with when that ends.
 func (l *lead) beingRecorded(a *attempt) bool {
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -286,16 +286,16 @@
 	if !l.alive() {
 		return
 	}
-	ttl := l.ttl
+	ttl := l.right.ttl
 	sent := n.now
-	n.store("POST", protocol.TouchTarget(l.lease), nil, ttl/2, func(o Outcome) {
+	n.store("POST", protocol.TouchTarget(l.right.lease), nil, ttl/2, func(o Outcome) {
 		if !l.alive() {
 			return
 		}
 		next := ttl * 3 / 10
 		switch {
 		case o.Answered && o.Status == 200:
-			l.validUntil = sent.Add(ttl - drift(ttl))
+			l.right.validUntil = sent.Add(ttl - drift(ttl))
 			l.muted = false
 		case o.Answered && o.Status == 404:
 			n.stepDown("the leader lease ended")
@@ -324,6 +324,7 @@
 	if n.now.Sub(n.lateAt) < lateCounts && !n.lateAt.IsZero() && l.phase == active {
 		n.election.lostLate = n.now
 	}
+	l.ended = true
 	n.lead = nil
 	n.startElection()
 }
@@ -332,7 +333,7 @@
 func (n *Node) resign(why string, pause time.Duration) {
 	l := n.lead
 	n.election.notBefore = n.now.Add(pause)
-	n.store("DELETE", protocol.LeaseTarget(l.lease), nil, storeTimeout, func(Outcome) {})
+	n.store("DELETE", protocol.LeaseTarget(l.right.lease), nil, storeTimeout, func(Outcome) {})
 	n.stepDown(why)
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -37,9 +37,8 @@
 type fleet struct {
 	budget    *bookkeeping.Budget
 	unmet     []demand
-	held      map[*job]int    // replicas that silent machines are kept for, until there is room
-	doubtful  map[string]bool // zones where a worker did not answer when it was last asked
-	partly    bool            // the last round ended early: unmet isn't all there is
+	held      map[*job]int // replicas that silent machines are kept for, until there is room
+	partly    bool         // the last round ended early: unmet isn't all there is
 	asked     bool
 	requests  uint64
 	blocked   map[string]time.Time // offers without capacity
--- a/internal/coordination/groups_test.go
+++ b/internal/coordination/groups_test.go
@@ -121,7 +121,7 @@
 	if got := leader.machines["vm-1"]; got == nil || got.addr != "x" {
 		t.Fatalf("loaded %+v", got)
 	}
-	leader.loaded()
+	leader.settle()
 	next.now = next.now.Add(2 * askAfter)
 	leader.watchMachines()
 	asked := false
--- a/internal/coordination/grow.go
+++ b/internal/coordination/grow.go
@@ -79,7 +79,7 @@
 // grow rents what the waiting work and the headroom need beyond what boots.
 func (l *lead) grow() {
 	n, f := l.n, &l.fleet
-	if l.phase != active || n.storeDown() || len(n.types) == 0 || !n.now.Before(l.validUntil) || f.partly {
+	if l.phase != active || n.storeDown() || len(n.types) == 0 || !n.now.Before(l.right.validUntil) || f.partly {
 		return
 	}
 	for _, k := range f.renting {
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -140,12 +140,12 @@
 	n.Request(n.now, 1, "POST", protocol.PathReport, report(3))
 	m := l.machines["vm-1"]
 	m.recorded, m.reached, m.spec = true, n.now, n.types["small"]
-	l.validUntil = n.now
+	l.right.validUntil = n.now
 	l.place()
 	if len(m.attempts) > 0 {
 		t.Error("placed without a lease")
 	}
-	l.validUntil, l.known = n.now, n.now.Add(time.Hour)
+	l.right.validUntil, l.known = n.now, n.now.Add(time.Hour)
 	n.now = n.now.Add(l.grace())
 	if !l.entitled() {
 		t.Error("not entitled within its grace")
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -24,34 +24,25 @@
 )
 
 // lead is what a leader keeps in memory. All of it is rebuilt from the state
-// service and from reports by the next one.
+// service and from reports by the next one. It serves all workers itself, as their owner.
 type lead struct {
-	n          *Node
-	term       uint64
-	version    uint64 // of the leader key; every write of ours demands it
-	lease      uint64
-	ttl        time.Duration // of the lease
-	validUntil time.Time     // until when no one else can have been elected
-	known      time.Time     // all that was recorded of jobs before it is known here; zero: nothing is
-	deaf       time.Time     // last time that silence of workers said nothing
-	watched    time.Time     // when the machines were last looked at
-	askFrom    int           // which of the machines to be asked comes next
-	loadedAt   time.Time     // when the records were read
-	muted      bool          // the grace beyond that is over, too
-	elected    time.Time
-	phase      phase
-	settled    time.Time
-
-	jobs      map[string]*job
-	order     []*job // by submission
-	teams     map[string]*usage
-	bias      map[string]float64 // of estimates, by class
-	stopped   map[string]usage   // of the teams' work, what was told to stop
-	machines  map[string]*machine
-	fleetList []*machine           // the same, in the order they became known
-	gone      map[string]time.Time // machines proven gone, while lists may still show them
-	journal   journal
-	fleet     fleet
+	owner
+	tenure   tenure // of all machines
+	term     uint64
+	version  uint64    // of the leader key; every write of ours demands it
+	loadedAt time.Time // when the records were read
+	muted    bool      // the grace beyond its lease is over
+	elected  time.Time
+	phase    phase
+	settled  time.Time
+
+	order   []*job // by submission
+	teams   map[string]*usage
+	bias    map[string]float64   // of estimates, by class
+	stopped map[string]usage     // of the teams' work, what was told to stop
+	gone    map[string]time.Time // machines proven gone, while lists may still show them
+	journal journal
+	fleet   fleet
 
 	told       told   // to operators, of work that waits
 	preferred  string // zone last recorded as the better one for leaders
@@ -66,10 +57,7 @@
 	yielding   []*attempt       // reused by every look at a machine's work
 	work       int              // machines looked at in this round
 	allowance  int              // how many it may look at
-	reports    uint64           // taken, to tell which attempts the latest one holds
 	imageIDs   map[string]int32
-	stepDirect []*machine // machines with orders to send at the end of the step
-	withheld   []*machine // machines whose starts wait for fresh knowledge
 }
 
 // usage is what a team's attempts take, those not proven gone included.
@@ -160,12 +148,15 @@
 }
 
 func (n *Node) becomeLeader(term, version, lease uint64, ttl time.Duration, validUntil time.Time) {
-	l := &lead{n: n, term: term, version: version, lease: lease, ttl: ttl, validUntil: validUntil, elected: n.now, phase: loading,
-		jobs: map[string]*job{}, teams: map[string]*usage{}, stopped: map[string]usage{}, bias: map[string]float64{}, machines: map[string]*machine{},
+	l := &lead{owner: newOwner(n, right{lease, ttl, validUntil}), term: term, version: version, elected: n.now, phase: loading,
+		teams: map[string]*usage{}, stopped: map[string]usage{}, bias: map[string]float64{},
 		gone: map[string]time.Time{}, imageIDs: map[string]int32{}, searches: map[kind]*search{}, allowance: roundWork}
 	for name := range n.teams {
 		l.teams[name] = &usage{}
 	}
+	l.observer = l
+	// The leader before may have had the shortest lease, which leaves the longest grace.
+	l.tenure = tenure{term: term, since: n.now, predecessorUntil: n.now.Add(n.graceAfter(n.op.LeaderLease()))}
 	l.journal.init(l)
 	l.fleet.init(l)
 	n.lead = l
@@ -177,98 +168,6 @@
 	l.every(time.Second, l.fleetStep)
 }
 
-func (l *lead) alive() bool { return l.n.lead == l }
-
-// every runs f each d while this leadership lasts.
-func (l *lead) every(d time.Duration, f func()) {
-	l.n.after(d, func() {
-		if l.alive() {
-			f()
-			l.every(d, f)
-		}
-	})
-}
-
-// grace is how long a leader whose lease may have ended goes on answering
-// reports, so that an outage of the state service doesn't end every task. The next
-// leader waits for its end before it takes silence for a proof. It is never longer than
-// lets lease, grace and worker lease together stay within the time a cancellation has;
-// what the leader knows bounds it further (answersFor).
-func (l *lead) grace() time.Duration { return l.n.graceAfter(l.ttl) }
-
-// graceAfter is the grace of a leader with a lease of the given time.
-func (n *Node) graceAfter(lease time.Duration) time.Duration {
-	c := n.cfg
-	return max(0, c.CancelWithin-c.WorkerLease-drift(2*c.WorkerLease)-lease-2*time.Second)
-}
-
-// entitled reports whether this node may still answer workers: it may be the leader, or
-// its grace isn't over, and it knows of every cancellation that is so old that an answer
-// now could keep its tasks beyond their time.
-func (l *lead) entitled() bool {
-	if l.known.IsZero() || l.n.now.After(l.known.Add(l.n.answersFor())) {
-		return false
-	}
-	return !l.n.now.After(l.validUntil.Add(l.grace()))
-}
-
-// answersFor is how long after a leader last knew of every cancellation it may go on
-// answering workers. One that it doesn't know of was confirmed after that; an answer
-// renews a worker's lease, counted from when the report was sent, so from before the
-// answer. The lease of a leader doesn't stand for what it knows: one that was elected and
-// then refused before it had read the records held it, and renewed the leases of tasks
-// whose cancellation was older than its term.
-//
-// Nothing is owed to the delay of the loop: a watch that is read late is as old as when
-// it was asked for, and a report that is read late as when it was sent.
-func (n *Node) answersFor() time.Duration {
-	c := n.cfg
-	return max(0, c.CancelWithin-c.WorkerLease-drift(c.CancelWithin+c.WorkerLease)-proofMargin)
-}
-
-// startsFor is how long after that it may send starts that were recorded before. The
-// tasks of a cancelled job would end in time all the same, but nobody should start them.
-const startsFor = 2500 * time.Millisecond
-
-// mayStart reports whether starts may be sent.
-func (l *lead) mayStart() bool {
-	return !l.known.IsZero() && l.n.now.Sub(l.known) <= startsFor && !l.n.storeDown()
-}
-
-// learned notes that all that was recorded of jobs before at is known.
-func (l *lead) learned(at time.Time) {
-	if at.After(l.known) {
-		l.known = at
-	}
-	// A leader that is behind reads its watches late, and is short of fresh knowledge most
-	// of the time: what it withheld goes out now, and doesn't wait for the machines' reports.
-	if len(l.withheld) > 0 && l.mayStart() {
-		for _, m := range l.withheld {
-			m.withheld = false
-			l.directSoon(m)
-		}
-		l.withheld = l.withheld[:0]
-	}
-}
-
-// silentProof is when a machine that has been silent since the election has
-// certainly ended its tasks: the leader before may have answered it until its
-// own grace ended.
-func (l *lead) silentProof(m *machine) time.Time {
-	c := l.n.cfg
-	last := l.elected.Add(l.n.graceAfter(l.n.op.LeaderLease())) // the longest that it may have been
-	if !m.tookOver.IsZero() {
-		// It has seen our token and takes no other's answer any more. Until then an
-		// earlier leader's may have renewed its lease: a token that came with a
-		// direct command says nothing of when that was.
-		last = m.tookOver
-	}
-	last = latest(last, m.answered, m.began)
-	return last.Add(c.WorkerLease + drift(c.WorkerLease) + proofMargin)
-}
-
-func (l *lead) token() uint64 { return l.term << 16 }
-
 // roundPause is the pause after a round of placement for each machine that it
 // looked at.
 const roundPause = 150 * time.Nanosecond
@@ -298,17 +197,5 @@
 // written and ordered.
 func (l *lead) settleStep() {
 	l.journal.flush()
-	for i := 0; i < len(l.stepDirect); i++ {
-		m := l.stepDirect[i]
-		m.directAsked = false
-		l.sendDirect(m)
-	}
-	l.stepDirect = l.stepDirect[:0]
-}
-
-func (l *lead) directSoon(m *machine) {
-	if !m.directAsked {
-		m.directAsked = true
-		l.stepDirect = append(l.stepDirect, m)
-	}
+	l.sendStep()
 }
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -40,13 +40,14 @@
 	for _, it := range chunks {
 		l.loadChunk(it)
 	}
-	l.loaded()
+	l.settle()
 }
 
-func (l *lead) loaded() {
+func (l *lead) settle() {
 	n := l.n
 	l.phase, l.loadedAt = settling, n.now
-	wait := l.comeByThemselves()
+	l.loaded = true
+	wait := n.comeByThemselves()
 	if len(l.machines) == 0 {
 		wait = n.cfg.ReportInterval / 2
 	}
@@ -66,18 +67,13 @@
 	n.after(l.settled.Sub(n.now), l.activate)
 }
 
-// comeByThemselves is when the workers that can have found a new leader: the longest
-// interval between reports, and the second that a worker takes to try the next node.
-func (l *lead) comeByThemselves() time.Duration {
-	return l.n.cfg.ReportInterval*5/4 + 1200*time.Millisecond
-}
-
 // activate ends the wait for reports.
 func (l *lead) activate() {
 	if !l.alive() || l.phase != settling {
 		return
 	}
 	l.phase = active
+	l.asksNew = true
 	l.settled = l.n.now
 	l.n.log.Info("placing", "term", l.term, "after", l.n.now.Sub(l.elected))
 	l.fleetStep()
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -21,6 +21,7 @@
 		Boot: 10 * time.Second, Zones: []string{"a"}}})
 	n.becomeLeader(1, 10, 5, 2*time.Second, now.Add(time.Hour))
 	n.lead.phase, n.lead.known = p, now.Add(time.Hour)
+	n.lead.loaded, n.lead.asksNew = p != loading, p == active
 	n.take()
 	return n, n.lead
 }
@@ -60,7 +61,7 @@
 	if m == nil || len(l.journal.puts) != 0 {
 		t.Fatalf("machine %v, %d records to write while loading", m, len(l.journal.puts))
 	}
-	l.loaded()
+	l.settle()
 	if len(l.journal.puts) != 1 || l.journal.puts[0].machines[0] != m {
 		t.Errorf("%d machine records to write", len(l.journal.puts))
 	}
@@ -181,7 +182,7 @@
 	if r := report(1, 11, 0); r.Status != 503 || m.answered != answered || m.heard != heard {
 		t.Errorf("a copy: status %d, answered %s later, heard %s later", r.Status, m.answered.Sub(answered), m.heard.Sub(heard))
 	}
-	l.takeReport(m, &protocol.Report{Machine: "vm-1", Session: 1, Seq: 13, Token: l.token()}, false)
+	l.takeReport(m, &protocol.Report{Machine: "vm-1", Session: 1, Seq: 13, Token: l.tenure.token()}, false)
 	if r := report(1, 12, 0); r.Status != 200 || !m.answered.After(answered) || m.seq != 13 {
 		t.Errorf("a report overtaken by a response: status %d, number %d", r.Status, m.seq)
 	}
--- /dev/null
+++ b/internal/coordination/observe.go
@@ -0,0 +1,113 @@
+package coordination
+
+import (
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// What a leader makes of what workers show.
+
+// machineUp implements observer.
+func (l *lead) machineUp(*machine) { l.askPlace() }
+
+// sessionBegan implements observer.
+func (l *lead) sessionBegan(m *machine) { m.images.reset() }
+
+// addressChanged implements observer.
+func (l *lead) addressChanged(m *machine) { l.journal.changeGroup(m.group) }
+
+// noticeCame implements observer.
+func (l *lead) noticeCame(m *machine) { l.drainNoticed(m) }
+
+// tasksCompared implements observer.
+func (l *lead) tasksCompared(*machine) { l.checkHeard() }
+
+// machineReached implements observer.
+func (l *lead) machineReached(m *machine) {
+	l.keep(m)
+	if m.reached.IsZero() {
+		l.askPlace()
+		l.checkHeard()
+	}
+}
+
+// probeFailed implements observer.
+func (l *lead) probeFailed(*machine) { l.checkHeard() }
+
+// beganAnew implements observer: the worker's sessions and numbers say no more which of
+// its messages is the newer one.
+func (l *lead) beganAnew(m *machine) {
+	m.draining = true
+	l.release(m, "its worker began anew")
+}
+
+// stateReported implements observer.
+func (l *lead) stateReported(a *attempt, s protocol.TaskState) {
+	m := a.machine
+	if s == protocol.Running && a.state != protocol.Running {
+		m.images.add(a.job.image, a.job.ImageGB, m.cacheGB())
+	}
+	l.setState(a, s)
+}
+
+// attemptGone implements observer.
+func (l *lead) attemptGone(a *attempt, why string) { l.detach(a, why) }
+
+// strayReported implements observer: not a task of ours on this machine, or not any more.
+func (l *lead) strayReported(*machine, *protocol.TaskReport) bool { return true }
+
+// laterToken implements observer.
+func (l *lead) laterToken() { l.n.stepDown("a worker has seen a later term") }
+
+// checkHeard ends the new leader's wait once nobody is left to be heard.
+func (l *lead) checkHeard() {
+	if l.phase != settling {
+		return
+	}
+	if l.checkAsked {
+		return
+	}
+	l.checkAsked = true
+	l.n.after(10*time.Millisecond, func() {
+		l.checkAsked = false
+		if l.alive() && l.phase == settling && l.enoughHeard() {
+			l.activate()
+		}
+	})
+}
+
+// exitReported implements observer.
+func (l *lead) exitReported(m *machine, a *attempt, t *protocol.TaskReport) bool {
+	j := l.jobs[t.Job]
+	if t.Why == protocol.ExitDone && j != nil && t.Index < j.Tasks {
+		if a != nil && a.state != 0 {
+			m.images.add(j.image, j.ImageGB, m.cacheGB())
+		}
+		clear(m.failures)
+		if a != nil {
+			l.learn(a)
+		}
+		l.taskDone(j, t.Index)
+	}
+	if a != nil {
+		if t.Why == protocol.ExitError {
+			l.failed(m, a)
+		}
+		if t.Why == protocol.ExitNoRoom || t.Why == protocol.ExitBusy || t.Why == protocol.ExitUnknown {
+			l.n.log.Info("start refused", "machine", m.name, "job", t.Job, "task", t.Index, "why", t.Why)
+			j.notBefore = l.n.now.Add(500 * time.Millisecond)
+			l.n.after(510*time.Millisecond, func() {
+				if l.alive() {
+					l.askPlace()
+				}
+			})
+		}
+		l.detach(a, "exited")
+	}
+	// A result is recorded before the worker forgets it.
+	if t.Why == protocol.ExitDone && j != nil && t.Index < j.Tasks && j.outcome == 0 && !j.task(t.Index).saved {
+		return false
+	}
+	return true
+}
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -6,130 +6,136 @@
 	"brasskeel/internal/protocol"
 )
 
+// directTimeout is how long a worker has to answer orders.
+const directTimeout = 1200 * time.Millisecond
+
 func startOrder(a *attempt) protocol.Order {
 	return protocol.Order{Kind: protocol.Start, Job: a.job.ID, Index: a.task, Attempt: a.number}
 }
 
 // stopOrder gives the order that ends an attempt, unless it is saving in the
 // time it was given.
-func (l *lead) stopOrder(a *attempt) (protocol.Order, bool) {
+func (o *owner) stopOrder(a *attempt) (protocol.Order, bool) {
 	if a.state == protocol.Saving && a.grace > 0 {
 		return protocol.Order{}, false
 	}
 	return protocol.Order{Kind: protocol.Stop, Job: a.job.ID, Index: a.task, Attempt: a.number, Grace: a.grace}, true
 }
 
-// drain takes a machine out of use.
-func (l *lead) drain(m *machine) {
-	if m.draining {
-		return
-	}
-	m.draining = true
-	for _, a := range m.sorted() {
-		l.stopAttempt(a, l.saveGrace(a))
-	}
-}
-
-// drainNoticed saves what can be saved on a machine that will be taken. Tasks
-// that can't save go on: they may still complete.
-func (l *lead) drainNoticed(m *machine) {
-	for _, a := range m.sorted() {
-		if a.job.Checkpoint > 0 {
-			l.stopAttempt(a, l.saveGrace(a))
-		} else if a.job.Kind == protocol.Service {
-			l.stopAttempt(a, 0)
-		}
-	}
+// neverSent reports whether no start of an attempt can be on its way.
+func (a *attempt) neverSent() bool {
+	return !a.inherited && !a.seen && a.sentSession == 0 && !a.direct && a.directToken == 0
 }
 
-// saveGrace is the time a stopped attempt needs to save.
-func (l *lead) saveGrace(a *attempt) time.Duration {
-	if a.job.Checkpoint == 0 || a.state != protocol.Running {
-		return 0
+// callable reports whether orders can be sent to a worker without waiting for its report.
+func (o *owner) callable(m *machine) bool {
+	if !o.alive() || m.directBusy || m.removed || !m.up || m.addr == "" || !o.loaded || !o.entitled() {
+		return false
 	}
-	return a.job.Save + 100*time.Millisecond
+	// One that is unreachable gets its orders when it reports.
+	return !o.n.now.Before(m.directPause) && o.n.now.Sub(m.heard) <= o.n.cfg.ReportInterval*3/2
 }
 
 // sendDirect sends a worker what it must do without waiting for its report.
-func (l *lead) sendDirect(m *machine) {
-	n := l.n
-	if !l.alive() || m.directBusy || m.removed || !m.up || m.addr == "" || l.phase == loading || !l.entitled() {
+func (o *owner) sendDirect(m *machine) {
+	if !o.callable(m) {
 		return
 	}
-	if n.now.Before(m.directPause) || n.now.Sub(m.heard) > n.cfg.ReportInterval*3/2 {
-		return // unreachable: it gets its orders when it reports
+	orders, starts := o.directOrders(m)
+	if len(orders) == 0 {
+		return
+	}
+	token, session := o.machineToken(m), m.session
+	for _, a := range starts {
+		a.direct = true
+		a.directToken, a.directSession = token, session
+	}
+	if len(starts) > 0 {
+		m.directToken = token
 	}
-	var orders []protocol.Order
-	var starts []*attempt
-	mayStart := l.mayStart()
+	m.directBusy = true
+	body := protocol.DirectOrders(token, session, orders)
+	o.n.call(Worker, m.addr, "POST", protocol.PathOrders, body, directTimeout, func(out Outcome) {
+		if o.alive() {
+			o.directAnswered(m, session, starts, out)
+		}
+	})
+}
+
+// directOrders are the stops and starts that a worker hasn't been sent.
+func (o *owner) directOrders(m *machine) (orders []protocol.Order, starts []*attempt) {
+	mayStart := o.mayStart()
 	for _, a := range m.sorted() {
 		switch {
 		case a.stop && a.seen && a.stopSent.IsZero():
-			if o, ok := l.stopOrder(a); ok {
-				a.stopSent = n.now
-				orders = append(orders, o)
+			if order, ok := o.stopOrder(a); ok {
+				a.stopSent = o.n.now
+				orders = append(orders, order)
 			}
-		case !a.stop && a.recorded && l.neverSent(a) && !mayStart:
-			if !m.withheld {
-				m.withheld = true
-				l.withheld = append(l.withheld, m)
-			}
-		case !a.stop && a.recorded && l.neverSent(a):
+		case a.stop || !a.recorded || !a.neverSent():
+		case !mayStart:
+			o.withhold(m)
+		default:
 			starts = append(starts, a)
 			orders = append(orders, startOrder(a))
 		}
 	}
-	if len(orders) == 0 {
+	return orders, starts
+}
+
+// withhold keeps a machine's starts until knowledge is fresh.
+func (o *owner) withhold(m *machine) {
+	if !m.withheld {
+		m.withheld = true
+		o.withheld = append(o.withheld, m)
+	}
+}
+
+// directAnswered takes what came of orders that were sent.
+func (o *owner) directAnswered(m *machine, session uint64, starts []*attempt, out Outcome) {
+	m.directBusy = false
+	for _, a := range starts {
+		a.direct = false
+	}
+	var r *protocol.Report
+	if out.Answered && (out.Status == 200 || out.Status == 409) {
+		r, _ = protocol.ParseReport(out.Body)
+	}
+	if r == nil || r.Machine != m.name {
+		o.directUnanswered(m, starts, out)
 		return
 	}
-	token, session := l.machineToken(m), m.session
 	for _, a := range starts {
-		a.direct = true
-		a.directToken, a.directSession = token, session
+		a.directToken = 0
+		if out.Status == 200 {
+			a.sentSession, a.sentSeq = session, r.Seq
+		}
 	}
-	if len(starts) > 0 {
-		m.directToken = token
+	if r.Token>>fenceBits > m.tenure.term {
+		o.observer.laterToken()
+		return
 	}
-	m.directBusy = true
-	n.call(Worker, m.addr, "POST", protocol.PathOrders, protocol.DirectOrders(token, session, orders), 1200*time.Millisecond,
-		func(o Outcome) {
-			if !l.alive() {
-				return
-			}
-			m.directBusy = false
-			for _, a := range starts {
-				a.direct = false
-			}
-			var r *protocol.Report
-			if o.Answered && (o.Status == 200 || o.Status == 409) {
-				r, _ = protocol.ParseReport(o.Body)
-			}
-			if r == nil || r.Machine != m.name {
-				// Carried out late, perhaps: directToken stays until the worker
-				// has seen a higher one.
-				if o.NotSent || o.Answered && o.Status == 400 {
-					for _, a := range starts {
-						a.directToken = 0
-					}
-				}
-				m.directPause = n.now.Add(n.cfg.ReportInterval)
-				return
-			}
-			for _, a := range starts {
-				a.directToken = 0
-				if o.Status == 200 {
-					a.sentSession, a.sentSeq = session, r.Seq
-				}
-			}
-			if r.Token>>16 > l.term {
-				n.stepDown("a worker has seen a later term")
-				return
-			}
-			if !m.removed && (r.Session > m.session || r.Session == m.session && r.Seq > m.seq) {
-				l.takeReport(m, r, false)
-			}
-			if o.Status == 200 {
-				l.sendDirect(m)
-			}
-		})
+	if !m.removed && m.newer(r) {
+		o.takeReport(m, r, false)
+	}
+	if out.Status == 200 {
+		o.sendDirect(m)
+	}
+}
+
+// directUnanswered takes that orders got no answer. They may be carried out late, so a
+// start's token stays until the worker has seen a higher one, unless the orders were
+// never sent or were refused.
+func (o *owner) directUnanswered(m *machine, starts []*attempt, out Outcome) {
+	if out.NotSent || out.Answered && out.Status == 400 {
+		for _, a := range starts {
+			a.directToken = 0
+		}
+	}
+	m.directPause = o.n.now.Add(o.n.cfg.ReportInterval)
+}
+
+// newer reports whether a report is newer than what is known of the machine.
+func (m *machine) newer(r *protocol.Report) bool {
+	return r.Session > m.session || r.Session == m.session && r.Seq > m.seq
 }
--- a/internal/coordination/overload_test.go
+++ b/internal/coordination/overload_test.go
@@ -31,8 +31,8 @@
 	}
 	// The longer a leader's lease, the shorter its grace: together with a worker's
 	// lease they stay within the time that a cancellation has.
-	l.ttl = 4 * base
-	if sum := l.ttl + l.grace() + n.cfg.WorkerLease; sum > n.cfg.CancelWithin {
+	l.right.ttl = 4 * base
+	if sum := l.right.ttl + l.grace() + n.cfg.WorkerLease; sum > n.cfg.CancelWithin {
 		t.Errorf("lease, grace and worker's lease take %s of %s", sum, n.cfg.CancelWithin)
 	}
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -12,7 +12,7 @@
 // highest score among the machines with room.
 func (l *lead) place() {
 	n := l.n
-	if l.phase != active || n.storeDown() || !n.now.Before(l.validUntil) {
+	if l.phase != active || n.storeDown() || !n.now.Before(l.right.validUntil) {
 		return // new placements need the state service
 	}
 	l.markGuarantees()
--- a/internal/coordination/rights_test.go
+++ b/internal/coordination/rights_test.go
@@ -44,7 +44,7 @@
 		n, l := leading(active)
 		n.cfg.WorkerLease, n.cfg.CancelWithin = c.lease, c.cancel
 		l.known = n.now
-		l.validUntil = n.now.Add(time.Hour) // it is renewed, but no watch is answered
+		l.right.validUntil = n.now.Add(time.Hour) // it is renewed, but no watch is answered
 		known, last := l.known, time.Time{}
 		for i := range 8000 {
 			at := known.Add(time.Duration(i) * 100 * time.Millisecond)
@@ -140,7 +140,7 @@
 	m := l.machines["vm-1"]
 	a := &attempt{job: j, number: 1, machine: m, placed: n.now, recorded: true}
 	l.attach(a)
-	l.validUntil = n.now.Add(time.Hour)
+	l.right.validUntil = n.now.Add(time.Hour)
 	n.now = n.now.Add(startsFor + time.Millisecond)
 	l.sendDirect(m)
 	e := n.Request(n.now, 2, "POST", protocol.PathReport, report(4))
