--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -22,6 +22,7 @@
 	KeyLeader      = "e/leader"
 	KeyTerm        = "e/term"
 	KeyPrefer      = "e/prefer"
+	KeySharded     = "e/sharded" // there while machines are divided into shards
 
 	PrefixJobs    = "b/"
 	PrefixActive  = "b/q/"
@@ -30,8 +31,30 @@
 	PrefixChunks   = "c/"
 	PrefixMachines = "m/"
 	KeyTypes       = "t/types"
+
+	// Everything about shards lies under PrefixShards, so that one watch tells of
+	// owners and of members.
+	PrefixShards  = "s/"
+	PrefixOwners  = "s/o/"
+	PrefixMembers = "s/m/"
 )
 
+// KeyOwner is where the record of who owns a shard lies.
+func KeyOwner(shard int) string { return fmt.Sprintf("%s%04d", PrefixOwners, shard) }
+
+// ParseOwnerKey is the inverse of KeyOwner.
+func ParseOwnerKey(key string) (shard int, ok bool) {
+	rest, ok := strings.CutPrefix(key, PrefixOwners)
+	if !ok {
+		return 0, false
+	}
+	shard, err := strconv.Atoi(rest)
+	return shard, err == nil && shard > 0
+}
+
+// KeyMember is where a controller that may own shards records itself, bound to its lease.
+func KeyMember(node string) string { return PrefixMembers + node }
+
 // KeyActive is where an unfinished job's record lies.
 func KeyActive(job string) string { return PrefixActive + job }
 
@@ -60,9 +83,28 @@
 }
 
 // KeyMachines is where the record of some rented machines lies, by the term of the
-// leader that wrote it first and a counter of its own.
-func KeyMachines(term, counter uint64) string {
-	return fmt.Sprintf("%st%d-%d", PrefixMachines, term, counter)
+// leader that wrote it first and a counter of its own. Machines of a shard have it in the
+// key, so that no late write of the record changes it; 0 is none. Keys with a shard come
+// first in a list.
+func KeyMachines(shard int, term, counter uint64) string {
+	if shard == 0 {
+		return fmt.Sprintf("%st%d-%d", PrefixMachines, term, counter)
+	}
+	return fmt.Sprintf("%ss%04d/t%d-%d", PrefixMachines, shard, term, counter)
+}
+
+// ShardOfMachines is the shard that a key of machines names, 0 for none.
+func ShardOfMachines(key string) int {
+	rest, _ := strings.CutPrefix(key, PrefixMachines+"s")
+	number, _, ok := strings.Cut(rest, "/")
+	if !ok {
+		return 0
+	}
+	shard, err := strconv.Atoi(number)
+	if err != nil || shard < 0 {
+		return 0
+	}
+	return shard
 }
 
 // Leader is the record of who leads.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -28,6 +28,30 @@
 	LeaderLeaseSeconds float64 `json:"leaderLeaseSeconds"`
 	// Spot allows renting spot machines for jobs that may use them.
 	Spot bool `json:"spot"`
+	// Sharding divides the machines among the controllers; nil: the leader serves all.
+	Sharding *Sharding `json:"sharding,omitempty"`
+}
+
+// Sharding says how machines are divided among the controllers.
+type Sharding struct {
+	// ShardsPerController times the number of controllers is the number of shards.
+	ShardsPerController int `json:"shardsPerController"`
+	// Drain says that this controller is to own no shard.
+	Drain bool `json:"drain"`
+}
+
+// defaultShardsPerController lets a shard be moved without moving half of what an owner has.
+const defaultShardsPerController = 2
+
+// UnmarshalJSON implements json.Unmarshaler: what is left out has its default.
+func (s *Sharding) UnmarshalJSON(raw []byte) error {
+	type plain Sharding
+	p := plain{ShardsPerController: defaultShardsPerController}
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return err
+	}
+	*s = Sharding(p)
+	return nil
 }
 
 // DefaultOperator is used where operators set nothing.
--- a/internal/coordination/attempts.go
+++ b/internal/coordination/attempts.go
@@ -187,7 +187,7 @@
 		l.detach(a, "never sent")
 		return
 	}
-	l.directSoon(a.machine)
+	l.orderSoon(a)
 }
 
 // beingRecorded reports whether a write that holds the attempt may be under
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -16,6 +16,7 @@
 	term          uint64
 	termVersion   uint64
 	prefer        string // zone that leaders should be in
+	sharded       bool   // machines are divided into shards
 	loaded        bool
 	standing      bool
 	planned       *timer
@@ -36,7 +37,7 @@
 	alive := func() bool { return n.election.generation == generation }
 	n.storeList(bookkeeping.PrefixElection, alive, func(items []protocol.Item, revision uint64, _ time.Time) {
 		e.leaderVersion, e.leader, e.leaderLease = 0, bookkeeping.Leader{}, 0
-		e.termVersion, e.term = 0, 0
+		e.termVersion, e.term, e.sharded = 0, 0, false
 		for _, it := range items {
 			n.electionKey(it.Key, it.Value, it.Version)
 			if it.Key == bookkeeping.KeyLeader {
@@ -65,6 +66,8 @@
 		if json.Unmarshal(value, &t) == nil {
 			e.term, e.termVersion = t.Term, version
 		}
+	case bookkeeping.KeySharded:
+		e.sharded = true
 	case bookkeeping.KeyPrefer:
 		var p bookkeeping.Prefer
 		if json.Unmarshal(value, &p) == nil {
@@ -73,6 +76,15 @@
 	}
 }
 
+func (n *Node) electionKeyGone(key string) {
+	switch key {
+	case bookkeeping.KeyLeader:
+		n.election.leaderVersion, n.election.leader = 0, bookkeeping.Leader{}
+	case bookkeeping.KeySharded:
+		n.election.sharded = false
+	}
+}
+
 func (n *Node) watchElection(after uint64, generation int) {
 	n.storeWatch(bookkeeping.PrefixElection, after, watchWait, func(o Outcome) {
 		if n.election.generation != generation {
@@ -82,9 +94,7 @@
 			if events, revision, err := protocol.ParseEvents(o.Body); err == nil {
 				for _, ev := range events {
 					if ev.Deleted {
-						if ev.Key == bookkeeping.KeyLeader {
-							n.election.leaderVersion, n.election.leader = 0, bookkeeping.Leader{}
-						}
+						n.electionKeyGone(ev.Key)
 						continue
 					}
 					n.electionKey(ev.Key, ev.Value, ev.Version)
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -84,6 +84,9 @@
 	if l.phase == loading {
 		return
 	}
+	if l.shards != nil {
+		l.shards.step()
+	}
 	l.explain()
 	if n.now.Sub(f.typesAt) > typesInterval && f.budget.Take(n.now, 1) {
 		f.typesAt = n.now
--- a/internal/coordination/groups.go
+++ b/internal/coordination/groups.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/coordination/shard"
 	"brasskeel/internal/protocol"
 )
 
@@ -19,8 +20,10 @@
 type group struct {
 	key       string
 	machines  []*machine
-	written   bool // for the first time, or about to be
-	changed   bool // waits to be written again
+	shard     shard.ID // in its key, so that it is the same for ever; 0: none
+	written   bool     // for the first time, or about to be
+	applied   bool     // it is there
+	changed   bool     // waits to be written again
 	due       time.Time
 	typ, zone string
 	spot      bool
@@ -34,19 +37,37 @@
 // putMachine wants a machine recorded.
 func (g *journal) putMachine(m *machine) {
 	for _, k := range g.puts {
-		if !k.written && k.typ == m.typ && k.zone == m.zone && k.spot == m.spot && len(k.machines) < bookkeeping.MachinesPerRecord(g.l.n.cfg.ValueBytes) {
-			k.machines = append(k.machines, m)
-			m.group = k
+		if !k.written && k.typ == m.typ && k.zone == m.zone && k.spot == m.spot && len(k.machines) < g.machinesPerGroup() {
+			k.add(m)
 			return
 		}
 	}
 	g.groups++
+	id := g.l.shardFor(m)
 	// Never used again: terms are unique, and so is the counter within one.
-	k := &group{key: bookkeeping.KeyMachines(g.l.term, g.groups), machines: []*machine{m}, typ: m.typ, zone: m.zone, spot: m.spot}
-	m.group = k
+	k := &group{key: bookkeeping.KeyMachines(int(id), g.l.term, g.groups), shard: id, typ: m.typ, zone: m.zone, spot: m.spot}
+	k.add(m)
 	g.puts = append(g.puts, k)
 }
 
+func (k *group) add(m *machine) {
+	k.machines = append(k.machines, m)
+	m.group, m.shard = k, k.shard
+}
+
+// machinesPerGroup is how many machines share a record: fewer where shards are to have
+// about as many machines each.
+func (g *journal) machinesPerGroup() int {
+	most := bookkeeping.MachinesPerRecord(g.l.n.cfg.ValueBytes)
+	if g.l.shards != nil {
+		return min(most, shardedGroup)
+	}
+	return most
+}
+
+// shardedGroup is how many machines of a shard share a record at the most.
+const shardedGroup = 12
+
 // removeMachine takes a machine that is gone out of its record.
 func (g *journal) removeMachine(m *machine) {
 	k := m.group
@@ -103,11 +124,16 @@
 
 // groupWritten notes that a group's record was applied.
 func (l *lead) groupWritten(k *group) {
+	first := !k.applied
+	k.applied = true
 	for _, m := range k.machines {
 		if !m.recorded {
 			m.recorded = true
 			l.askPlace()
 		}
+		if first && l.shards != nil {
+			l.shards.tellMachine(m)
+		}
 	}
 }
 
@@ -121,7 +147,7 @@
 	if name, ok := cutPrefix(it.Key, bookkeeping.PrefixMachines); ok && len(r.Machines) == 0 {
 		r.Machines = []bookkeeping.Machine{{Name: name, Rented: r.Rented}}
 	}
-	k := &group{key: it.Key, written: true, typ: r.Type, zone: r.Zone, spot: r.Spot}
+	k := &group{key: it.Key, shard: shard.ID(bookkeeping.ShardOfMachines(it.Key)), written: true, applied: true, typ: r.Type, zone: r.Zone, spot: r.Spot}
 	for _, rented := range r.Machines {
 		m := l.machines[rented.Name]
 		if m == nil {
@@ -138,8 +164,7 @@
 		// Steady time only from here on.
 		m.rented = l.n.now.Add(-l.n.now.Round(0).Sub(at))
 		if m.group == nil {
-			m.group = k
-			k.machines = append(k.machines, m)
+			k.add(m)
 		}
 	}
 	if len(k.machines) == 0 {
--- /dev/null
+++ b/internal/coordination/jobs.go
@@ -0,0 +1,53 @@
+package coordination
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// jobRecorded implements observer.
+func (l *lead) jobRecorded(id string, value json.RawMessage, live bool) {
+	var r bookkeeping.Job
+	if err := protocol.Decode(value, &r); err != nil || r.Spec == nil || r.Chunk <= 0 || r.Spec.Tasks <= 0 {
+		l.n.log.Error("unreadable job record", "job", id, "err", err)
+		return
+	}
+	l.addJob(&r)
+	if live {
+		// Its record took a change, too: where users submit many jobs a second, the
+		// leader's own records leave them what the state service takes.
+		l.journal.budget.Spend(l.n.now, 1)
+		l.askPlace()
+	}
+}
+
+// jobEnded implements observer.
+func (l *lead) jobEnded(j *job, s protocol.JobState) { l.jobOver(j, s) }
+
+// jobRemoved implements observer: the leader removes records itself.
+func (l *lead) jobRemoved(string) {}
+
+func (l *lead) addJob(r *bookkeeping.Job) {
+	if l.jobs[r.Spec.ID] != nil {
+		return
+	}
+	j := &job{Job: r.Spec, submitted: time.UnixMilli(r.Submitted), size: r.Chunk, zones: map[string]int{},
+		failedOn: map[string]struct{}{}, image: l.imageID(r.Spec.Image)}
+	j.chunks = make([]*chunk, (j.Tasks+j.size-1)/j.size)
+	l.jobs[j.ID] = j
+	if !j.Spot && j.Kind == protocol.Service {
+		l.fleet.fixedNeed = max(l.fleet.fixedNeed, j.CPUs*float64(j.Tasks))
+	}
+	at := len(l.order)
+	for at > 0 && l.order[at-1].submitted.After(j.submitted) {
+		at--
+	}
+	l.order = slices.Insert(l.order, at, j)
+	if f, ok := l.n.admission.finals[j.ID]; ok {
+		l.jobOver(j, f.state)
+	}
+}
--- a/internal/coordination/journal.go
+++ b/internal/coordination/journal.go
@@ -287,7 +287,7 @@
 		for i, c := range b.chunks {
 			c.version, c.known, c.inFlight = revision, true, false
 			for _, t := range b.saved[i] {
-				t.saved = true
+				l.resultSaved(t)
 			}
 			for _, a := range b.starts[i] {
 				if c.job.task(a.task).live != a {
@@ -298,7 +298,7 @@
 					l.detach(a, "given up before it was sent")
 					continue
 				}
-				l.directSoon(a.machine)
+				l.orderSoon(a)
 			}
 		}
 		for _, k := range b.puts {
@@ -341,6 +341,15 @@
 	}
 }
 
+// resultSaved notes that a task's result is recorded.
+func (l *lead) resultSaved(t *task) {
+	t.saved = true
+	if t.exit != nil && l.shards != nil {
+		l.shards.tellForget(*t.exit)
+	}
+	t.exit = nil
+}
+
 // requeue puts what a batch held back to be written, and reads the versions of
 // the records that reread picks first.
 func (g *journal) requeue(b *batch, reread func(*chunk) bool) {
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"brasskeel/internal/coordination/shard"
 	"brasskeel/internal/protocol"
 )
 
@@ -43,6 +44,7 @@
 	gone    map[string]time.Time // machines proven gone, while lists may still show them
 	journal journal
 	fleet   fleet
+	shards  *shardLeader // nil when this leader serves all machines itself
 
 	told       told   // to operators, of work that waits
 	preferred  string // zone last recorded as the better one for leaders
@@ -109,7 +111,8 @@
 	attempt uint64 // the latest number used
 	live    *attempt
 	done    bool
-	saved   bool // recorded as done
+	saved   bool        // recorded as done
+	exit    *shard.Task // whose owner waits for that
 }
 
 // attempt is one try at a task on a machine, until proven gone.
@@ -121,6 +124,7 @@
 	placed  time.Time
 
 	recorded  bool // in the state service: its start may be sent
+	told      bool // the owner of its machine's shard was told of it
 	inherited bool // recorded by an earlier leader; whether it was sent is unknown
 	seen      bool // the worker reported it
 	state     protocol.TaskState
@@ -159,6 +163,13 @@
 	l.tenure = tenure{term: term, since: n.now, predecessorUntil: n.now.Add(n.graceAfter(n.op.LeaderLease()))}
 	l.journal.init(l)
 	l.fleet.init(l)
+	if n.sharding == nil && n.election.sharded {
+		// Other controllers may own shards: this one takes them back first.
+		n.startSharding(false)
+	}
+	if n.sharding != nil {
+		l.shards = newShardLeader(l, n.sharding, n.op.Sharding == nil)
+	}
 	n.lead = l
 	n.log.Info("leading", "term", term)
 	n.publish()
@@ -199,3 +210,12 @@
 	l.journal.flush()
 	l.sendStep()
 }
+
+// orderSoon lets a worker be told what is wanted of an attempt, by its owner.
+func (l *lead) orderSoon(a *attempt) {
+	if l.shards != nil {
+		l.shards.deliver(a)
+		return
+	}
+	l.directSoon(a.machine)
+}
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -64,6 +64,10 @@
 	}
 	n.log.Info("records loaded", "term", l.term, "jobs", len(l.order), "machines", len(l.machines), "attempts", live)
 	l.listMachines() // it has the addresses of those that are to be asked
+	if l.shards != nil {
+		l.shardMachines()
+		l.shards.changed()
+	}
 	n.after(l.settled.Sub(n.now), l.activate)
 }
 
--- a/internal/coordination/load_jobs.go
+++ b/internal/coordination/load_jobs.go
@@ -17,34 +17,35 @@
 // listed: a long-lived deployment has a hundred times more of them than jobs. Those of
 // the jobs whose records are still there are asked for one by one; a job without a
 // record has no attempt left.
-func (l *lead) loadJobs(done func(revision uint64)) {
-	l.n.storeList(bookkeeping.PrefixActive, l.alive, func(items []protocol.Item, revision uint64, asked time.Time) {
+func (o *owner) loadJobs(done func(revision uint64)) {
+	o.n.storeList(bookkeeping.PrefixActive, o.alive, func(items []protocol.Item, revision uint64, asked time.Time) {
 		for _, it := range items {
-			l.jobKey(it.Key, it.Value, false)
+			o.jobKey(it.Key, it.Value, false)
 		}
-		l.checkOutcomes(l.unfinished(), func() {
+		o.checkOutcomes(o.unfinished(), func() {
 			// Every outcome written before the list was asked for is known by now.
-			l.learned(asked)
-			l.n.releaseHeld()
+			o.learned(asked)
+			o.n.releaseHeld()
 			done(revision)
 		})
 	})
 }
 
 // unfinished are the jobs that aren't known to be over, in order.
-func (l *lead) unfinished() []string {
+func (o *owner) unfinished() []string {
 	var ids []string
-	for _, j := range l.order {
+	for id, j := range o.jobs {
 		if j.outcome == 0 {
-			ids = append(ids, j.ID)
+			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
 // checkOutcomes learns which of the jobs are over.
-func (l *lead) checkOutcomes(ids []string, done func()) {
-	batches := slices.Collect(slices.Chunk(ids, 4*l.n.cfg.TxnOps))
+func (o *owner) checkOutcomes(ids []string, done func()) {
+	batches := slices.Collect(slices.Chunk(ids, 4*o.n.cfg.TxnOps))
 	left := len(batches)
 	if left == 0 {
 		done()
@@ -58,7 +59,7 @@
 		}
 		batch := batches[next]
 		next++
-		l.checkBatch(batch, func() {
+		o.checkBatch(batch, func() {
 			if left--; left == 0 {
 				done()
 				return
@@ -73,28 +74,28 @@
 
 // checkBatch compares outcomes with none in one transaction, as often as it takes, and
 // reads those that are there.
-func (l *lead) checkBatch(ids []string, done func()) {
+func (o *owner) checkBatch(ids []string, done func()) {
 	t := &protocol.Txn{}
 	for _, id := range ids {
 		t.If = append(t.If, protocol.Condition{Key: bookkeeping.KeyOutcome(id)})
 	}
-	l.n.storeTxn(t, func(r txnResult, _ uint64, failed []string) {
+	o.n.storeTxn(t, func(r txnResult, _ uint64, failed []string) {
 		switch {
-		case !l.alive():
+		case !o.alive():
 		case r == txnApplied:
 			done()
 		case r == txnFailed:
-			l.readOutcomes(failed, done)
+			o.readOutcomes(failed, done)
 		default:
-			l.retryRead(func() { l.checkBatch(ids, done) })
+			o.retryRead(func() { o.checkBatch(ids, done) })
 		}
 	})
 }
 
-func (l *lead) readOutcomes(keys []string, done func()) {
+func (o *owner) readOutcomes(keys []string, done func()) {
 	left := len(keys)
 	for _, key := range keys {
-		l.readOutcomeKey(key, func() {
+		o.readOutcomeKey(key, func() {
 			if left--; left == 0 {
 				done()
 			}
@@ -102,15 +103,15 @@
 	}
 }
 
-func (l *lead) readOutcomeKey(key string, done func()) {
-	l.n.storeGet(key, func(it protocol.Item, found, ok bool) {
+func (o *owner) readOutcomeKey(key string, done func()) {
+	o.n.storeGet(key, func(it protocol.Item, found, ok bool) {
 		switch {
-		case !l.alive():
+		case !o.alive():
 		case !ok:
-			l.retryRead(func() { l.readOutcomeKey(key, done) })
+			o.retryRead(func() { o.readOutcomeKey(key, done) })
 		default:
 			if found {
-				l.jobKey(it.Key, it.Value, false)
+				o.jobKey(it.Key, it.Value, false)
 			}
 			done()
 		}
@@ -118,95 +119,73 @@
 }
 
 // retryRead runs f after a short pause, if this leadership lasts.
-func (l *lead) retryRead(f func()) {
-	l.n.after(200*time.Millisecond+l.n.jitter(100*time.Millisecond), func() {
-		if l.alive() {
+func (o *owner) retryRead(f func()) {
+	o.n.after(200*time.Millisecond+o.n.jitter(100*time.Millisecond), func() {
+		if o.alive() {
 			f()
 		}
 	})
 }
 
 // watchJobs learns of submissions and of outcomes from a revision on.
-func (l *lead) watchJobs(after uint64) {
-	asked := l.n.now
-	l.n.storeWatch(bookkeeping.PrefixJobs, after, l.n.jobsWatchWait(), func(o Outcome) {
-		if !l.alive() {
+func (o *owner) watchJobs(after uint64) {
+	asked := o.n.now
+	o.n.storeWatch(bookkeeping.PrefixJobs, after, o.n.jobsWatchWait(), func(out Outcome) {
+		if !o.alive() {
 			return
 		}
-		if o.Answered && o.Status == 200 {
-			if events, revision, err := protocol.ParseEvents(o.Body); err == nil {
+		if out.Answered && out.Status == 200 {
+			if events, revision, err := protocol.ParseEvents(out.Body); err == nil {
 				for _, ev := range events {
-					if !ev.Deleted {
-						l.jobKey(ev.Key, ev.Value, true)
-					}
+					o.jobEvent(ev)
 				}
-				l.learned(asked)
-				l.watchJobs(max(after, revision))
+				o.learned(asked)
+				o.watchJobs(max(after, revision))
 				return
 			}
 		}
-		if o.Answered && o.Status == 410 {
-			l.loadJobs(l.watchJobs) // too much has changed since
+		if out.Answered && out.Status == 410 {
+			o.loadJobs(o.watchJobs) // too much has changed since
 			return
 		}
-		l.retryRead(func() { l.watchJobs(after) })
+		o.retryRead(func() { o.watchJobs(after) })
 	})
 }
 
-// jobKey takes a record under PrefixJobs.
-func (l *lead) jobKey(key string, value json.RawMessage, live bool) {
-	if id, ok := cutPrefix(key, bookkeeping.PrefixActive); ok {
-		var r bookkeeping.Job
-		if err := protocol.Decode(value, &r); err != nil || r.Spec == nil || r.Chunk <= 0 || r.Spec.Tasks <= 0 {
-			l.n.log.Error("unreadable job record", "job", id, "err", err)
-			return
-		}
-		l.addJob(&r)
-		if live {
-			// Its record took a change, too: where users submit many jobs a second, the
-			// leader's own records leave them what the state service takes.
-			l.journal.budget.Spend(l.n.now, 1)
-			l.askPlace()
-		}
+func (o *owner) jobEvent(ev protocol.Event) {
+	if !ev.Deleted {
+		o.jobKey(ev.Key, ev.Value, true)
 		return
 	}
-	if id, ok := cutPrefix(key, bookkeeping.PrefixOutcome); ok {
-		s, done, err := bookkeeping.DecodeOutcome(value)
-		if err != nil {
-			l.n.log.Error("unreadable outcome", "job", id, "err", err)
-			return
-		}
-		l.n.admission.setFinal(id, s, done) // who wrote it told the peers
-		if j := l.jobs[id]; j != nil {
-			l.jobOver(j, s)
-		}
+	if id, ok := cutPrefix(ev.Key, bookkeeping.PrefixActive); ok {
+		o.observer.jobRemoved(id)
 	}
 }
 
-func cutPrefix(s, prefix string) (string, bool) {
-	if len(s) > len(prefix) && s[:len(prefix)] == prefix {
-		return s[len(prefix):], true
+// jobKey takes a record under PrefixJobs; live says that it was just written.
+func (o *owner) jobKey(key string, value json.RawMessage, live bool) {
+	if id, ok := cutPrefix(key, bookkeeping.PrefixActive); ok {
+		o.observer.jobRecorded(id, value, live)
+		return
 	}
-	return "", false
-}
-
-func (l *lead) addJob(r *bookkeeping.Job) {
-	if l.jobs[r.Spec.ID] != nil {
+	id, ok := cutPrefix(key, bookkeeping.PrefixOutcome)
+	if !ok {
 		return
 	}
-	j := &job{Job: r.Spec, submitted: time.UnixMilli(r.Submitted), size: r.Chunk, zones: map[string]int{},
-		failedOn: map[string]struct{}{}, image: l.imageID(r.Spec.Image)}
-	j.chunks = make([]*chunk, (j.Tasks+j.size-1)/j.size)
-	l.jobs[j.ID] = j
-	if !j.Spot && j.Kind == protocol.Service {
-		l.fleet.fixedNeed = max(l.fleet.fixedNeed, j.CPUs*float64(j.Tasks))
+	s, done, err := bookkeeping.DecodeOutcome(value)
+	if err != nil {
+		o.n.log.Error("unreadable outcome", "job", id, "err", err)
+		return
 	}
-	at := len(l.order)
-	for at > 0 && l.order[at-1].submitted.After(j.submitted) {
-		at--
+	o.n.admission.setFinal(id, s, done) // who wrote it told the peers
+	if j := o.jobs[id]; j != nil {
+		o.observer.jobEnded(j, s)
 	}
-	l.order = slices.Insert(l.order, at, j)
-	if f, ok := l.n.admission.finals[j.ID]; ok {
-		l.jobOver(j, f.state)
+}
+
+func cutPrefix(s, prefix string) (string, bool) {
+	if len(s) > len(prefix) && s[:len(prefix)] == prefix {
+		return s[len(prefix):], true
 	}
+	return "", false
 }
--- a/internal/coordination/load_jobs_test.go
+++ b/internal/coordination/load_jobs_test.go
@@ -149,7 +149,7 @@
 		for i := range 48 {
 			group.Machines = append(group.Machines, bookkeeping.Machine{Name: fmt.Sprintf("vm-%06d", g*48+i), Addr: "10.1.0.1:9000"})
 		}
-		r.put(bookkeeping.KeyMachines(1, uint64(g+1)), group)
+		r.put(bookkeeping.KeyMachines(0, 1, uint64(g+1)), group)
 	}
 	for i := range 150 {
 		job := benchJob(i)
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"brasskeel/internal/coordination/shard"
 	"brasskeel/internal/protocol"
 )
 
@@ -65,6 +66,15 @@
 	probing     bool
 	probeFails  int // probes in a row without an answer
 
+	// Of a machine in a shard.
+	shard      shard.ID              // 0: none
+	wasUp      bool                  // its worker was heard by somebody before
+	listed     bool                  // the leader told of all attempts that may be on it
+	anew       bool                  // its worker lost its memory
+	exits      map[taskKey]*toldExit // that the leader was told of
+	strays     map[taskKey]uint64    // attempts it was asked about
+	strayStops map[taskKey]uint64    // and those that are to end
+
 	failures  map[string]int // failed attempts by job since the last success
 	sick      bool
 	emptying  bool // takes new tasks only when no other has room
@@ -78,7 +88,10 @@
 
 func (l *lead) newMachine(name, typ, zone string, spot bool) *machine {
 	m := &machine{name: name, typ: typ, zone: zone, spot: spot, spec: l.n.types[typ], rented: l.n.now,
-		attempts: map[taskKey]*attempt{}, emptySince: l.n.now, failures: map[string]int{}, tenure: &l.tenure}
+		attempts: map[taskKey]*attempt{}, emptySince: l.n.now, failures: map[string]int{}}
+	if l.shards == nil {
+		m.tenure = &l.tenure
+	}
 	l.machines[name] = m
 	l.fleetList = append(l.fleetList, m)
 	return m
@@ -98,6 +111,10 @@
 
 // report answers a worker.
 func (n *Node) report(id uint64, body []byte) {
+	if n.sharding != nil {
+		n.sharding.report(id, body)
+		return
+	}
 	l := n.lead
 	if (l == nil && n.leaderDoubtful() || l != nil && l.known.IsZero()) && !n.storeDown() {
 		n.holdForLeader(id, body)
@@ -115,7 +132,7 @@
 	}
 	if r.Token>>fenceBits > l.term {
 		// A later leader has already spoken to this worker.
-		l.laterToken()
+		n.stepDown("a worker has seen a later term")
 		n.reply(id, 421, protocol.Redirect(""))
 		return
 	}
@@ -164,6 +181,9 @@
 	for _, a := range m.sorted() {
 		l.detach(a, "machine gone")
 	}
+	if l.shards != nil {
+		l.shards.tellGone(m)
+	}
 	l.journal.removeMachine(m)
 }
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -48,11 +48,18 @@
 // Publish is told to every peer.
 type Publish struct{ Body []byte }
 
+// Send is told to one peer, by name. It may be lost.
+type Send struct {
+	To   string
+	Body []byte
+}
+
 // Effects is what one step asks for, in order.
 type Effects struct {
 	Replies   []Reply
 	Calls     []Call
 	Publishes []Publish
+	Sends     []Send
 }
 
 // Outcome is what came of a call. Answered is false when no response came:
@@ -111,7 +118,36 @@
 	election  election
 	admission admission
 	peers     map[string]*peerView
-	lead      *lead // nil while following
+	lead      *lead     // nil while following
+	sharding  *sharding // nil while the leader serves all machines
+
+	local     []shardLine // between this controller's own roles
+	oddLines  int         // of peers, that were ignored
+	processor processor
+	lagMost   time.Duration // since it was last told
+}
+
+// processor is how much of its share this process uses.
+type processor struct {
+	used  time.Duration // in all
+	at    time.Time
+	share float64 // lately
+}
+
+// Processor tells how much processor time this process has used in all.
+func (n *Node) Processor(now time.Time, used time.Duration) {
+	p := &n.processor
+	if elapsed := now.Sub(p.at); !p.at.IsZero() && elapsed > 0 && n.cfg.CPUShare > 0 {
+		p.share = float64(used-p.used) / (float64(elapsed) * n.cfg.CPUShare)
+	}
+	p.used, p.at = used, now
+}
+
+// lagLately is by how much timers were late at the most since it was last asked.
+func (n *Node) lagLately() time.Duration {
+	lag := n.lagMost
+	n.lagMost = 0
+	return lag
 }
 
 // New makes a node that is about to start at now. boot must differ from every
@@ -136,6 +172,9 @@
 		n.log.Info("team", "team", t.Name, "guaranteed", t.CPUs, "limited", t.CPUsMax < config.NoLimit, "most", t.CPUsMax)
 	}
 	n.startElection()
+	if sh := n.op.Sharding; sh != nil {
+		n.startSharding(sh.Drain)
+	}
 	n.loadTypes()
 	n.every(time.Second, n.publish)
 	n.every(time.Second, n.checkStore)
@@ -165,6 +204,7 @@
 	n.now = now
 	if next := n.Next(); !next.IsZero() {
 		n.lag = max(0, now.Sub(next))
+		n.lagMost = max(n.lagMost, n.lag)
 		if n.late() {
 			n.lateAt = now
 		}
@@ -206,8 +246,14 @@
 }
 
 func (n *Node) take() Effects {
-	if n.lead != nil {
-		n.lead.settleStep()
+	for again := true; again; again = len(n.local) > 0 {
+		n.deliverLocal()
+		if n.lead != nil {
+			n.lead.settleStep()
+		}
+		if s := n.sharding; s != nil && s.own != nil {
+			s.own.sendStep()
+		}
 	}
 	out := n.out
 	n.out = Effects{}
--- a/internal/coordination/observe.go
+++ b/internal/coordination/observe.go
@@ -58,7 +58,7 @@
 func (l *lead) strayReported(*machine, *protocol.TaskReport) bool { return true }
 
 // laterToken implements observer.
-func (l *lead) laterToken() { l.n.stepDown("a worker has seen a later term") }
+func (l *lead) laterToken(*machine) { l.n.stepDown("a worker has seen a later term") }
 
 // checkHeard ends the new leader's wait once nobody is left to be heard.
 func (l *lead) checkHeard() {
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -24,12 +24,12 @@
 
 // neverSent reports whether no start of an attempt can be on its way.
 func (a *attempt) neverSent() bool {
-	return !a.inherited && !a.seen && a.sentSession == 0 && !a.direct && a.directToken == 0
+	return !a.inherited && !a.told && !a.seen && a.sentSession == 0 && !a.direct && a.directToken == 0
 }
 
 // callable reports whether orders can be sent to a worker without waiting for its report.
 func (o *owner) callable(m *machine) bool {
-	if !o.alive() || m.directBusy || m.removed || !m.up || m.addr == "" || !o.loaded || !o.entitled() {
+	if !o.alive() || m.directBusy || m.removed || !m.up || m.addr == "" || !o.loaded && !m.listed || !o.serves(m) || !o.entitled() {
 		return false
 	}
 	// One that is unreachable gets its orders when it reports.
@@ -112,7 +112,7 @@
 		}
 	}
 	if r.Token>>fenceBits > m.tenure.term {
-		o.observer.laterToken()
+		o.observer.laterToken(m)
 		return
 	}
 	if !m.removed && m.newer(r) {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"encoding/json"
 	"time"
 
 	"brasskeel/internal/protocol"
@@ -58,8 +59,13 @@
 	attemptGone(a *attempt, why string)
 	// strayReported tells whether a task that isn't known here is to be stopped.
 	strayReported(m *machine, t *protocol.TaskReport) (stop bool)
-	// laterToken: a worker has seen a token above those of this owner's.
-	laterToken()
+	// jobRecorded: there is a record of an unfinished job; live says that it was just
+	// written. jobEnded: its outcome is recorded. jobRemoved: its record was removed.
+	jobRecorded(id string, value json.RawMessage, live bool)
+	jobEnded(j *job, s protocol.JobState)
+	jobRemoved(id string)
+	// laterToken: a worker has seen a token above those of its machine's tenure.
+	laterToken(m *machine)
 }
 
 // tenure is the time for which an owner serves machines, under one token.
@@ -68,8 +74,12 @@
 	since time.Time
 	// Until when whoever served the machines before may have answered their workers.
 	predecessorUntil time.Time
+	paused           bool // nothing is answered or sent
 }
 
+// serves reports whether a machine's worker is this owner's to answer and to call now.
+func (o *owner) serves(m *machine) bool { return m.tenure != nil && !m.tenure.paused }
+
 // token is the lowest token of the tenure; fences make it higher for single workers.
 func (t *tenure) token() uint64 { return t.term << fenceBits }
 
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -1,7 +1,9 @@
 package coordination
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"brasskeel/internal/protocol"
@@ -77,6 +79,10 @@
 // Peer takes a message from another controller.
 func (n *Node) Peer(now time.Time, body []byte) Effects {
 	n.now = now
+	if bytes.HasPrefix(body, shardLinePrefix) {
+		n.peerShardLine(body)
+		return n.take()
+	}
 	var m peerMessage
 	if protocol.Decode(body, &m) == nil && m.Node != "" && m.Node != n.cfg.Name && n.isPeer(m.Node) {
 		n.peers[m.Node] = &peerView{at: now, storeOK: m.StoreOK, unfit: m.Unfit, progress: m.Progress}
@@ -97,6 +103,25 @@
 	return n.take()
 }
 
+// peerShardLine takes a line about shards. Those of strangers and those that make no sense
+// are counted, and the first is told of.
+func (n *Node) peerShardLine(body []byte) {
+	line, err := parseShardLine(body)
+	if err == nil && !n.isPeer(line.Node) {
+		err = errStranger
+	}
+	if err == nil {
+		n.takeShardLine(line)
+		return
+	}
+	n.oddLines++
+	if n.oddLines == 1 {
+		n.log.Warn("a peer's line is ignored", "err", err, "line", string(body[:min(len(body), 200)]))
+	}
+}
+
+var errStranger = errors.New("not from a peer")
+
 func (n *Node) isPeer(name string) bool {
 	for i := range n.cfg.Peers {
 		if n.cfg.Peers[i].Name == name {
--- a/internal/coordination/probes.go
+++ b/internal/coordination/probes.go
@@ -131,7 +131,7 @@
 // probe asks a worker for its state: it may be reporting to another node, its
 // reports may be lost, or nothing of ours may reach it.
 func (o *owner) probe(m *machine) {
-	if m.probing || m.addr == "" || m.releasing && !m.given || m.removed || m.tenure == nil {
+	if m.probing || m.addr == "" || m.releasing && !m.given || m.removed || !o.serves(m) {
 		return
 	}
 	m.probing = true
@@ -181,7 +181,7 @@
 // for it: on a small share of a processor that cost a new leader a tenth of its first
 // seconds.
 func (o *owner) claim(m *machine) {
-	if !m.tookOver.IsZero() || m.directBusy || !o.loaded || o.n.now.Sub(m.tenure.since) < o.n.comeByThemselves() {
+	if !m.tookOver.IsZero() || m.directBusy || !o.loaded && !m.listed || !o.serves(m) || o.n.now.Sub(m.tenure.since) < o.n.comeByThemselves() {
 		return
 	}
 	m.directBusy = true
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -42,7 +42,7 @@
 		o.n.log.Info("machine will be taken", "machine", m.name, "in", r.Notice)
 		o.observer.noticeCame(m)
 	}
-	if !o.loaded {
+	if !o.loaded && !m.listed {
 		// Whether a task belongs here isn't known yet; the answer renews the lease,
 		// and ends what must not go on. The same report's content will come again.
 		return o.stopsOfEnded(r)
--- /dev/null
+++ b/internal/coordination/shard/records.go
@@ -0,0 +1,177 @@
+// Package shard divides the machines of a fleet into shards, each with one owner among
+// the controllers. It holds the records of owners, their changes, the planner that
+// decides who should own what, and the messages between the leader and owners. It does no
+// I/O, reads no clock and starts no goroutine.
+//
+// The state service alone says who owns a shard. A change of the owner is one transaction,
+// conditional on the version of the shard's record, and comes with a token above every one
+// before it.
+package shard
+
+import (
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// ID numbers a shard, from 1. 0 is no shard.
+type ID int
+
+// Member is one life of a controller that may own shards. It ends with its lease.
+type Member struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"inc"` // never used again
+}
+
+// MemberRecord is what a controller records of itself, bound to the member's lease.
+type MemberRecord struct {
+	Member
+	Zone     string `json:"zone"`
+	Draining bool   `json:"draining,omitempty"` // it wants to own nothing
+}
+
+// Grant is the right to serve the workers of a shard.
+type Grant struct {
+	Member
+	// Term is that of the tokens under which the member serves. It is drawn from the same
+	// counter as leaders' terms, so that it is above every one before it.
+	Term uint64 `json:"term"`
+}
+
+// Record tells who owns a shard.
+type Record struct {
+	Owner Grant `json:"owner"`
+	// Next is whom the shard is to move to. The owner stops serving, then makes it the
+	// owner.
+	Next *Grant `json:"next,omitempty"`
+	// Released is whether the owner before stopped serving before this one was made the
+	// owner. Otherwise it may have gone on for its grace.
+	Released bool `json:"released,omitempty"`
+	// Generation counts the owners.
+	Generation uint64 `json:"gen"`
+}
+
+// Authority is what a leader's changes are conditional on.
+type Authority struct {
+	LeaderVersion uint64 // of the leader key
+	Term          uint64 // the highest drawn so far
+	TermVersion   uint64 // of its key
+	Marked        bool   // it is on record that there are shards
+}
+
+// Change is a transaction that changes owners.
+type Change struct {
+	Txn protocol.Txn
+	// Term is the highest term after the change, for the next Authority.
+	Term uint64
+	// Records are those written.
+	Records map[ID]Record
+}
+
+// newChange begins a change of a leader's.
+func newChange(a Authority) *Change {
+	c := &Change{Term: a.Term, Records: map[ID]Record{}}
+	c.when(bookkeeping.KeyLeader, a.LeaderVersion)
+	return c
+}
+
+func (c *Change) when(key string, version uint64) {
+	c.Txn.If = append(c.Txn.If, protocol.Condition{Key: key, Version: version})
+}
+
+func (c *Change) put(id ID, version uint64, r Record) {
+	key := bookkeeping.KeyOwner(int(id))
+	c.when(key, version)
+	c.Txn.Then = append(c.Txn.Then, protocol.Op{Put: key, Value: bookkeeping.Encode(r)})
+	c.Records[id] = r
+}
+
+// grant draws a term for a new owner.
+func (c *Change) grant(to Member) Grant {
+	c.Term++
+	return Grant{Member: to, Term: c.Term}
+}
+
+// sealTerm records the terms that were drawn.
+func (c *Change) sealTerm(a Authority) *Change {
+	if c.Term != a.Term {
+		c.when(bookkeeping.KeyTerm, a.TermVersion)
+		c.Txn.Then = append(c.Txn.Then, protocol.Op{Put: bookkeeping.KeyTerm, Value: bookkeeping.Encode(bookkeeping.Term{Term: c.Term})})
+	}
+	return c
+}
+
+// Assignment gives a shard to a member.
+type Assignment struct {
+	ID ID
+	To Member
+}
+
+// Assign gives shards that nobody serves to members: new ones, and those whose owner's
+// lease has ended. That no such lease is there is a condition of the change, so that the
+// right of the owner before has ended in the state service. It gives nothing for shards
+// whose owner is alive. One whose record can't be read is given too: whoever asks for that
+// has waited until the right of any owner has ended.
+func (t *Table) Assign(list []Assignment, a Authority) *Change {
+	c := newChange(a)
+	owners := map[string]bool{}
+	for _, as := range list {
+		k, ok := t.records[as.ID]
+		if ok && t.Alive(k.value.Owner.Member) {
+			continue
+		}
+		unreadable := t.unreadable[as.ID]
+		r := Record{Owner: c.grant(as.To), Generation: k.value.Generation + 1}
+		r.Released = !ok && unreadable == 0 // nobody served it
+		c.put(as.ID, max(k.version, unreadable), r)
+		if node := k.value.Owner.Node; ok && !owners[node] {
+			owners[node] = true
+			c.when(bookkeeping.KeyMember(node), t.members[node].version)
+		}
+	}
+	if !a.Marked {
+		// With a term in the same change: who is elected later knows of it.
+		c.Txn.Then = append(c.Txn.Then, protocol.Op{Put: bookkeeping.KeySharded, Value: bookkeeping.Encode(true)})
+	}
+	return c.sealTerm(a)
+}
+
+// Intend asks the owner of a shard to release it to a member. It gives nil where the shard
+// has no owner that is alive, or moves already.
+func (t *Table) Intend(id ID, to Member, a Authority) *Change {
+	k, ok := t.records[id]
+	if !ok || k.value.Next != nil || !t.Alive(k.value.Owner.Member) || k.value.Owner.Member == to {
+		return nil
+	}
+	c := newChange(a)
+	r := k.value
+	grant := c.grant(to)
+	r.Next = &grant
+	c.put(id, k.version, r)
+	return c.sealTerm(a)
+}
+
+// Withdraw takes an intent back, as when the member that the shard was to move to has
+// ended. It gives nil without one.
+func (t *Table) Withdraw(id ID, a Authority) *Change {
+	k, ok := t.records[id]
+	if !ok || k.value.Next == nil {
+		return nil
+	}
+	c := newChange(a)
+	r := k.value
+	r.Next = nil
+	c.put(id, k.version, r)
+	return c
+}
+
+// Release makes the member that a shard moves to its owner. The owner alone may do so,
+// once it has stopped serving. No leader is needed for it.
+func (t *Table) Release(id ID, from Member) *Change {
+	k, ok := t.records[id]
+	if !ok || k.value.Next == nil || k.value.Owner.Member != from {
+		return nil
+	}
+	c := &Change{Records: map[ID]Record{}}
+	c.put(id, k.version, Record{Owner: *k.value.Next, Generation: k.value.Generation + 1, Released: true})
+	return c
+}
--- /dev/null
+++ b/internal/coordination/shard/table.go
@@ -0,0 +1,150 @@
+package shard
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// versioned is a record and the version of its key.
+type versioned[T any] struct {
+	value   T
+	version uint64
+}
+
+// Table is what the state service tells of owners and members.
+type Table struct {
+	records map[ID]versioned[Record]
+	members map[string]versioned[MemberRecord]
+	// Records that can't be read, and their versions. Nobody guesses at their owners.
+	unreadable map[ID]uint64
+}
+
+// NewTable is an empty table.
+func NewTable() *Table {
+	return &Table{records: map[ID]versioned[Record]{}, members: map[string]versioned[MemberRecord]{}, unreadable: map[ID]uint64{}}
+}
+
+// Put takes a record; an error says that it can't be read. Older versions than the one
+// that is known change nothing.
+func (t *Table) Put(key string, value json.RawMessage, version uint64) error {
+	if node, ok := strings.CutPrefix(key, bookkeeping.PrefixMembers); ok {
+		return t.putMember(node, value, version)
+	}
+	number, ok := bookkeeping.ParseOwnerKey(key)
+	if !ok {
+		return fmt.Errorf("unknown key %q", key)
+	}
+	id := ID(number)
+	if version < t.records[id].version || version < t.unreadable[id] {
+		return nil
+	}
+	var r Record
+	if err := protocol.Decode(value, &r); err != nil || r.Owner.Node == "" || r.Owner.Term == 0 {
+		delete(t.records, id)
+		t.unreadable[id] = version
+		return fmt.Errorf("unreadable owner of shard %d: %.200q", id, value)
+	}
+	delete(t.unreadable, id)
+	t.records[id] = versioned[Record]{r, version}
+	return nil
+}
+
+func (t *Table) putMember(node string, value json.RawMessage, version uint64) error {
+	if version < t.members[node].version {
+		return nil
+	}
+	var m MemberRecord
+	if err := protocol.Decode(value, &m); err != nil || m.Node != node || m.Incarnation == 0 {
+		delete(t.members, node)
+		return fmt.Errorf("unreadable member %q: %.200q", node, value)
+	}
+	t.members[node] = versioned[MemberRecord]{m, version}
+	return nil
+}
+
+// Remove takes a key out that was removed at a version.
+func (t *Table) Remove(key string, version uint64) {
+	if node, ok := strings.CutPrefix(key, bookkeeping.PrefixMembers); ok && t.members[node].version <= version {
+		delete(t.members, node)
+	}
+	if number, ok := bookkeeping.ParseOwnerKey(key); ok && t.records[ID(number)].version <= version {
+		delete(t.records, ID(number))
+		delete(t.unreadable, ID(number))
+	}
+}
+
+// Applied takes a change of this node's own that was applied at a version.
+func (t *Table) Applied(c *Change, version uint64) {
+	for id, r := range c.Records {
+		if t.records[id].version < version {
+			t.records[id] = versioned[Record]{r, version}
+			delete(t.unreadable, id)
+		}
+	}
+}
+
+// Record gives a shard's record.
+func (t *Table) Record(id ID) (r Record, version uint64, ok bool) {
+	k, ok := t.records[id]
+	return k.value, k.version, ok
+}
+
+// Owner gives who serves a shard, if its record can be read and its lease hasn't ended.
+func (t *Table) Owner(id ID) (Grant, bool) {
+	k, ok := t.records[id]
+	return k.value.Owner, ok && t.Alive(k.value.Owner.Member)
+}
+
+// Alive reports whether a member's lease is there.
+func (t *Table) Alive(m Member) bool {
+	k, ok := t.members[m.Node]
+	return ok && k.value.Member == m
+}
+
+// Member gives the member of a node, and the version of its key; 0 without one.
+func (t *Table) Member(node string) (MemberRecord, uint64) {
+	k := t.members[node]
+	return k.value, k.version
+}
+
+// Members lists the members by name.
+func (t *Table) Members() []MemberRecord {
+	var list []MemberRecord
+	for _, node := range slices.Sorted(maps.Keys(t.members)) {
+		list = append(list, t.members[node].value)
+	}
+	return list
+}
+
+// IDs lists the shards that have a record, readable or not.
+func (t *Table) IDs() []ID {
+	ids := slices.AppendSeq(slices.Collect(maps.Keys(t.records)), maps.Keys(t.unreadable))
+	slices.Sort(ids)
+	return ids
+}
+
+// Unreadable gives the version of a shard's record that can't be read.
+func (t *Table) Unreadable(id ID) (version uint64, ok bool) {
+	version, ok = t.unreadable[id]
+	return version, ok
+}
+
+// OwnedBy lists the shards that a member owns.
+func (t *Table) OwnedBy(m Member) []ID {
+	var ids []ID
+	for _, id := range t.IDs() {
+		if t.records[id].value.Owner.Member == m {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Empty reports whether no shard has a record.
+func (t *Table) Empty() bool { return len(t.records)+len(t.unreadable) == 0 }
--- /dev/null
+++ b/internal/coordination/shard_feed.go
@@ -0,0 +1,308 @@
+package coordination
+
+import (
+	"time"
+
+	"brasskeel/internal/coordination/shard"
+)
+
+// Lines between the leader and owners.
+const (
+	// lineEvery is the least time between lines to one side: what happens meanwhile shares
+	// one, since each line costs both sides some wake-ups.
+	lineEvery = 25 * time.Millisecond
+	// lineItems bounds what one line holds, so that it fits the stream's 64 KiB.
+	lineItems = 400
+	// exitKept is how long an exit is remembered after the leader let it be forgotten.
+	exitKept = 30 * time.Second
+)
+
+// ownerFeed is what an owner tells the leader, and takes from it.
+type ownerFeed struct {
+	o       *shardOwner
+	link    *shard.Link // to the leader; nil while none is known
+	leader  string
+	line    shard.Observations // that is being filled
+	workers map[*machine]bool  // to be told in it
+	due     bool               // a line waits for its time
+	sentAt  time.Time
+}
+
+func newOwnerFeed(o *shardOwner) *ownerFeed {
+	return &ownerFeed{o: o, workers: map[*machine]bool{}}
+}
+
+func (f *ownerFeed) tellWorker(m *machine) { f.workers[m] = true; f.soon() }
+
+func (f *ownerFeed) tellState(a *attempt) {
+	f.line.States = append(f.line.States, shard.State{Task: attemptTask(a), State: a.state})
+	f.soon()
+}
+
+func (f *ownerFeed) tellExit(k *toldExit) { f.line.Exits = append(f.line.Exits, k.exit); f.soon() }
+
+func (f *ownerFeed) tellGone(a *attempt, why string) {
+	f.line.Gone = append(f.line.Gone, shard.Gone{Task: attemptTask(a), Why: why})
+	f.soon()
+}
+
+func (f *ownerFeed) tellStray(t shard.Task) { f.line.Strays = append(f.line.Strays, t); f.soon() }
+
+// tellGrants lets the leader know at once which shards are served, so that it tells of
+// their machines.
+func (f *ownerFeed) tellGrants() { f.flush() }
+
+func attemptTask(a *attempt) shard.Task {
+	return shard.Task{Machine: a.machine.name, Job: a.job.ID, Index: a.task, Attempt: a.number}
+}
+
+// soon wants a line sent, at the end of the step or when the last one is long enough ago.
+func (f *ownerFeed) soon() {
+	if f.due {
+		return
+	}
+	f.due = true
+	n := f.o.n
+	n.after(max(0, f.sentAt.Add(lineEvery).Sub(n.now)), func() {
+		f.due = false
+		if f.o.alive() {
+			f.flush()
+		}
+	})
+}
+
+// flush sends what there is to tell, and the full account if the leader lacks it.
+func (f *ownerFeed) flush() {
+	if f.link == nil {
+		f.line, f.workers = shard.Observations{}, map[*machine]bool{} // a full account will come
+		return
+	}
+	if f.link.NeedsReset() {
+		f.account()
+		return
+	}
+	f.addWorkers()
+	f.send()
+}
+
+// account tells all that is known of the workers.
+func (f *ownerFeed) account() {
+	f.line, f.workers = shard.Observations{Status: f.line.Status}, map[*machine]bool{}
+	items := 0
+	for _, m := range f.o.fleetList {
+		f.line.Workers = append(f.line.Workers, f.worker(m))
+		items++
+		for _, a := range m.sorted() {
+			if a.state != 0 {
+				f.line.States = append(f.line.States, shard.State{Task: attemptTask(a), State: a.state})
+				items++
+			}
+		}
+		for _, k := range m.exits {
+			k.at = time.Time{} // the next report brings it
+		}
+		clear(m.strays)
+		if items >= lineItems {
+			f.send()
+			items = 0
+		}
+	}
+	f.send()
+}
+
+func (f *ownerFeed) addWorkers() {
+	if len(f.workers) == 0 {
+		return
+	}
+	for _, m := range f.o.fleetList {
+		if f.workers[m] {
+			f.line.Workers = append(f.line.Workers, f.worker(m))
+		}
+	}
+	clear(f.workers)
+}
+
+func (f *ownerFeed) worker(m *machine) shard.Worker {
+	w := shard.Worker{Machine: m.name, Shard: m.shard, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot, Anew: m.anew}
+	if m.up {
+		w.Session, w.Compared, w.Reached = m.session, m.reconciled, !m.reached.IsZero()
+	}
+	if !m.noticeAt.IsZero() {
+		w.Notice = max(1, m.noticeAt.Sub(f.o.n.now).Milliseconds())
+	}
+	return w
+}
+
+// send sends the line, with all that a step has added to it.
+func (f *ownerFeed) send() {
+	n := f.o.n
+	f.line.Header = f.link.Next(n.now, true)
+	f.line.Grants = f.o.grants()
+	f.sentAt = n.now
+	line := f.line
+	f.line = shard.Observations{}
+	n.sendShardLine(f.leader, shardLine{Observations: &line})
+}
+
+// follow begins to talk to whoever leads.
+func (f *ownerFeed) follow(leader string, term uint64) {
+	epoch := shard.Epoch{Term: term, Member: f.o.sharding.member}
+	if f.link != nil && f.link.Epoch() == epoch || f.link != nil && f.link.Epoch().Term > term {
+		return
+	}
+	f.link, f.leader = shard.NewLink(epoch), leader
+	f.soon()
+}
+
+// take takes a line of the leader's.
+func (f *ownerFeed) take(from string, in *shard.Instructions) {
+	if in.Epoch.Member != f.o.sharding.member {
+		return // meant for an earlier life
+	}
+	f.follow(from, in.Epoch.Term)
+	if !f.link.Take(in.Header) {
+		return
+	}
+	if in.Reset {
+		for _, m := range f.o.fleetList {
+			m.listed = false // until the account lists it
+		}
+	}
+	for i := range in.Machines {
+		f.o.list(&in.Machines[i])
+	}
+	for i := range in.Runs {
+		f.o.run(&in.Runs[i])
+	}
+	for i := range in.Stops {
+		f.o.stopTask(&in.Stops[i])
+	}
+	for i := range in.Forgets {
+		f.o.forget(&in.Forgets[i])
+	}
+	for _, name := range in.Gone {
+		f.o.forgetMachine(name)
+	}
+	if f.link.AckDue() {
+		f.soon()
+	}
+}
+
+// list takes a machine and all attempts that may be on it.
+func (o *shardOwner) list(k *shard.Machine) {
+	h := o.held[k.Shard]
+	if h == nil || h.tenure.term != k.Term {
+		return // it was meant for an earlier or a later tenure
+	}
+	m := o.machines[k.Name]
+	if m == nil {
+		m = o.newMachine(*k, h)
+	}
+	if m.addr == "" {
+		m.addr = k.Addr
+	}
+	m.wasUp = m.wasUp || k.Up
+	runs := map[taskKey]*shard.Run{}
+	for i := range k.Runs {
+		r := &k.Runs[i]
+		runs[taskKey{r.Job, r.Index}] = r
+	}
+	for _, a := range m.sorted() {
+		if r := runs[taskKey{a.job.ID, a.task}]; r == nil || r.Attempt != a.number {
+			o.remove(a) // the leader knows that it is gone
+		}
+	}
+	for i := range k.Runs {
+		r := &k.Runs[i]
+		a := m.attempts[taskKey{r.Job, r.Index}]
+		switch {
+		case a == nil:
+			// Who was told of it before, if anybody was, may have sent its start.
+			o.add(m, *r, !r.New)
+		case r.Stop:
+			o.stop(a, time.Duration(r.Grace)*time.Millisecond)
+		}
+	}
+	m.listed = true
+	o.n.releaseHeld()
+}
+
+// run takes an attempt that was recorded and told to nobody before.
+func (o *shardOwner) run(r *shard.Run) {
+	m := o.machines[r.Machine]
+	if m == nil || !m.listed || m.attempts[taskKey{r.Job, r.Index}] != nil {
+		o.feed.link.Lost()
+		return
+	}
+	o.add(m, *r, false)
+}
+
+// stopTask ends a task, known here or not.
+func (o *shardOwner) stopTask(s *shard.Stop) {
+	m := o.machines[s.Machine]
+	if m == nil {
+		return
+	}
+	key := taskKey{s.Job, s.Index}
+	if a := m.attempts[key]; a != nil && a.number == s.Attempt {
+		o.stop(a, time.Duration(s.Grace)*time.Millisecond)
+		return
+	}
+	m.strayStops[key] = s.Attempt
+}
+
+// forget lets a worker forget an exited task.
+func (o *shardOwner) forget(t *shard.Task) {
+	m := o.machines[t.Machine]
+	if m == nil {
+		return
+	}
+	if k := m.exits[taskKey{t.Job, t.Index}]; k != nil && k.exit.Attempt == t.Attempt {
+		k.forget, k.at = true, o.n.now
+	}
+}
+
+// forgetMachine drops a machine that was proven gone.
+func (o *shardOwner) forgetMachine(name string) {
+	if m := o.machines[name]; m != nil {
+		o.removeMachine(m)
+	}
+}
+
+// status tells how this owner and its workers are.
+func (o *shardOwner) status() {
+	f := o.feed
+	if f.link == nil {
+		return
+	}
+	f.link.Check(o.n.now)
+	s := &shard.Status{Load: shard.Load{Share: o.n.processor.share, Lag: o.n.lagLately(), Reports: float64(o.answered), Machines: len(o.fleetList)}}
+	o.answered = 0
+	for _, m := range o.fleetList {
+		if late, ok := o.late(m); ok {
+			s.Late = append(s.Late, late)
+		}
+		o.sweepExits(m)
+	}
+	f.line.Status = s
+	f.flush()
+}
+
+// late tells of a worker that isn't well.
+func (o *shardOwner) late(m *machine) (shard.Late, bool) {
+	silent, unreached, unreported := o.silentFor(m), o.unreached(m), o.unreported(m)
+	if !o.expected(m) || silent <= o.suspectAfter() && m.probeFails == 0 && unreached <= o.reachAfter() && unreported <= o.suspectAfter()+lostReport {
+		return shard.Late{}, false
+	}
+	return shard.Late{Machine: m.name, Silent: silent.Milliseconds(), Unreached: unreached.Milliseconds(),
+		Unreported: unreported.Milliseconds(), Fails: m.probeFails}, true
+}
+
+// sweepExits drops exits that were forgotten long ago.
+func (o *shardOwner) sweepExits(m *machine) {
+	for key, k := range m.exits {
+		if k.forget && o.n.now.Sub(k.at) > exitKept {
+			delete(m.exits, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/shard_owner.go
@@ -0,0 +1,466 @@
+package coordination
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/coordination/shard"
+	"brasskeel/internal/protocol"
+)
+
+// shardOwner serves the workers of shards for a leader that may be another controller. It
+// starts from the records: which shards are its own, and which machines are theirs. What
+// may run there it learns from the leader, and tells it in turn what the workers show.
+type shardOwner struct {
+	owner
+	sharding *sharding
+	held     map[shard.ID]*heldShard
+	moved    map[string]shard.ID // machines of shards that went to somebody else
+	feed     *ownerFeed          // to the leader
+	loading  bool                // the machines' records are being read
+	again    bool                // and are to be read once more: a shard was taken meanwhile
+	answered int                 // reports since the last status
+}
+
+// heldShard is a shard that this owner serves.
+type heldShard struct {
+	tenure    tenure
+	moving    bool // nothing is answered or sent any more
+	releasing bool // the release is being written
+	overtaken bool // a worker has seen a later owner's token
+}
+
+func (h *heldShard) served() bool { return !h.moving && !h.overtaken }
+
+// setMoving and setOvertaken pause the tenure, or let it go on.
+func (h *heldShard) setMoving(on bool) {
+	h.moving = on
+	h.tenure.paused = !h.served()
+}
+
+func (h *heldShard) setOvertaken() {
+	h.overtaken = true
+	h.tenure.paused = true
+}
+
+func newShardOwner(s *sharding, r right) *shardOwner {
+	o := &shardOwner{owner: newOwner(s.n, r), sharding: s, held: map[shard.ID]*heldShard{}, moved: map[string]shard.ID{}}
+	o.observer, o.asksNew = o, true
+	o.feed = newOwnerFeed(o)
+	o.loadJobs(o.watchJobs)
+	o.every(watchInterval, o.watchWorkers)
+	return o
+}
+
+// follow takes and gives up shards as the table says.
+func (o *shardOwner) follow() {
+	s := o.sharding
+	for id, h := range o.held {
+		r, _, ok := s.table.Record(id)
+		if !ok || r.Owner.Member != s.member || r.Owner.Term != h.tenure.term {
+			o.dropShard(id)
+		}
+	}
+	added := false
+	for _, id := range s.table.OwnedBy(s.member) {
+		r, _, _ := s.table.Record(id)
+		if o.held[id] == nil {
+			o.takeShard(id, r)
+			added = true
+		}
+		o.followMove(id, r)
+	}
+	if added {
+		o.loadMachines()
+		o.feed.tellGrants()
+	}
+}
+
+// takeShard begins to serve a shard.
+func (o *shardOwner) takeShard(id shard.ID, r shard.Record) {
+	n := o.n
+	t := tenure{term: r.Owner.Term, since: n.now, predecessorUntil: n.now}
+	if !r.Released {
+		// Whoever owned it before may go on without the state service for its grace.
+		t.predecessorUntil = n.now.Add(n.graceAfter(n.op.LeaderLease()))
+	}
+	o.held[id] = &heldShard{tenure: t}
+	n.log.Info("serving shard", "shard", id, "term", t.term, "released", r.Released)
+}
+
+// dropShard forgets a shard that is somebody else's.
+func (o *shardOwner) dropShard(id shard.ID) {
+	delete(o.held, id)
+	for _, m := range slices.Clone(o.fleetList) {
+		if m.shard == id {
+			o.moved[m.name] = id
+			o.removeMachine(m)
+		}
+	}
+	o.n.log.Info("serving shard no more", "shard", id)
+}
+
+func (o *shardOwner) removeMachine(m *machine) {
+	m.removed, m.tenure = true, nil
+	delete(o.machines, m.name)
+	o.fleetList = slices.DeleteFunc(o.fleetList, func(k *machine) bool { return k == m })
+}
+
+// followMove stops serving a shard that is to move, and goes on if it isn't any more.
+// What is known of its workers is kept until the state service says that it is another's:
+// resumed under the same token, it must know what it sent.
+func (o *shardOwner) followMove(id shard.ID, r shard.Record) {
+	h := o.held[id]
+	h.setMoving(r.Next != nil)
+	if !h.moving || h.releasing {
+		return
+	}
+	o.feed.flush() // what was seen until now is still this owner's to tell
+	h.releasing = true
+	o.releaseShard(id)
+}
+
+// releaseShard makes the next member the owner.
+func (o *shardOwner) releaseShard(id shard.ID) {
+	s := o.sharding
+	c := s.table.Release(id, s.member)
+	if c == nil {
+		if h := o.held[id]; h != nil {
+			h.releasing = false
+		}
+		return
+	}
+	o.n.storeTxn(&c.Txn, func(res txnResult, revision uint64, _ []string) {
+		h := o.held[id]
+		if !o.alive() || h == nil {
+			return
+		}
+		h.releasing = false
+		if res == txnApplied {
+			s.table.Applied(c, revision)
+			s.changed()
+			return
+		}
+		// It may have been applied: what stands there decides, and is released again.
+		s.readTable()
+	})
+}
+
+// takes answers a report of a machine that this owner serves, and reports whether it did.
+func (o *shardOwner) takes(id uint64, r *protocol.Report, body []byte) bool {
+	n := o.n
+	m := o.machines[r.Machine]
+	if m == nil || m.tenure == nil {
+		return o.sendOn(id, r)
+	}
+	h := o.held[m.shard]
+	if h == nil || !h.served() {
+		n.reply(id, 421, protocol.Redirect(o.nextOwner(m.shard)))
+		return true
+	}
+	if o.known.IsZero() && !n.storeDown() {
+		n.holdForLeader(id, body)
+		return true
+	}
+	if !o.entitled() {
+		n.reply(id, 421, protocol.Redirect(""))
+		return true
+	}
+	if r.Token>>fenceBits > m.tenure.term {
+		o.laterToken(m)
+		n.reply(id, 421, protocol.Redirect(""))
+		return true
+	}
+	o.answered++
+	o.answer(m, id, r)
+	return true
+}
+
+// sendOn names the owner of a machine that was served here lately.
+func (o *shardOwner) sendOn(id uint64, r *protocol.Report) bool {
+	moved, ok := o.moved[r.Machine]
+	if !ok {
+		return false
+	}
+	name := o.sharding.ownerName(moved)
+	if name == "" || name == o.n.cfg.Name {
+		return false
+	}
+	o.n.reply(id, 421, protocol.Redirect(name))
+	return true
+}
+
+// nextOwner is whom a shard moves to, by name.
+func (o *shardOwner) nextOwner(id shard.ID) string {
+	if r, _, ok := o.sharding.table.Record(id); ok && r.Next != nil && r.Next.Node != o.n.cfg.Name {
+		return r.Next.Node
+	}
+	return ""
+}
+
+// loadMachines reads the records of machines, for those of shards that were taken: they are
+// answered although no leader has told of them.
+func (o *shardOwner) loadMachines() {
+	if o.loading {
+		o.again = true
+		return
+	}
+	o.loading, o.again = true, false
+	o.n.storeList(bookkeeping.PrefixMachines, o.alive, func(items []protocol.Item, _ uint64, _ time.Time) {
+		o.loading = false
+		for _, it := range items {
+			o.loadGroup(it)
+		}
+		o.n.releaseHeld()
+		if o.again {
+			o.loadMachines()
+		}
+	})
+}
+
+func (o *shardOwner) loadGroup(it protocol.Item) {
+	id := shard.ID(bookkeeping.ShardOfMachines(it.Key))
+	h := o.held[id]
+	if h == nil {
+		return
+	}
+	var r bookkeeping.Machines
+	if err := protocol.Decode(it.Value, &r); err != nil {
+		o.n.log.Error("unreadable record of machines", "key", it.Key, "err", err)
+		return
+	}
+	for _, k := range r.Machines {
+		if o.machines[k.Name] == nil {
+			o.newMachine(shard.Machine{Shard: id, Name: k.Name, Addr: k.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, h)
+		}
+	}
+}
+
+func (o *shardOwner) newMachine(k shard.Machine, h *heldShard) *machine {
+	m := &machine{name: k.Name, addr: k.Addr, typ: k.Type, zone: k.Zone, spot: k.Spot, shard: k.Shard, tenure: &h.tenure,
+		attempts: map[taskKey]*attempt{}, exits: map[taskKey]*toldExit{}, strays: map[taskKey]uint64{}}
+	o.machines[k.Name] = m
+	o.fleetList = append(o.fleetList, m)
+	delete(o.moved, k.Name)
+	return m
+}
+
+// silentFor is how long a worker has been silent, since its shard was taken at the most.
+func (o *shardOwner) silentFor(m *machine) time.Duration {
+	return o.n.now.Sub(latest(m.heard, m.tenure.since, o.deaf))
+}
+
+// watchWorkers asks workers that fell silent, and proves what silence proves.
+func (o *shardOwner) watchWorkers() {
+	if o.stalled() || o.n.storeDown() || !o.entitled() {
+		o.deaf = o.n.now // workers that got no answer look for another node
+		return
+	}
+	var ask []*machine
+	doubtful := map[string]bool{}
+	for _, m := range o.fleetList {
+		if h := o.held[m.shard]; h == nil || !h.served() {
+			continue
+		}
+		silent := o.silentFor(m)
+		if m.probeFails > 0 {
+			doubtful[m.zone] = true
+		}
+		if o.expected(m) && (o.wantsProbe(m, silent) || !m.up && silent > askAfter) {
+			ask = append(ask, m)
+		}
+		if silent > o.suspectAfter() && len(m.list) > 0 {
+			o.endSilent(m)
+		}
+	}
+	o.doubtful = doubtful
+	o.probeSome(ask)
+}
+
+// expected reports whether a machine's worker should be up: it was heard here, or by the
+// leader, or ran tasks.
+func (o *shardOwner) expected(m *machine) bool { return m.up || m.wasUp || len(m.list) > 0 }
+
+// machineUp implements observer.
+func (o *shardOwner) machineUp(m *machine) { o.feed.tellWorker(m) }
+
+// sessionBegan implements observer.
+func (o *shardOwner) sessionBegan(m *machine) { o.feed.tellWorker(m) }
+
+// addressChanged implements observer.
+func (o *shardOwner) addressChanged(m *machine) { o.feed.tellWorker(m) }
+
+// noticeCame implements observer.
+func (o *shardOwner) noticeCame(m *machine) { o.feed.tellWorker(m) }
+
+// tasksCompared implements observer.
+func (o *shardOwner) tasksCompared(m *machine) { o.feed.tellWorker(m) }
+
+// machineReached implements observer.
+func (o *shardOwner) machineReached(m *machine) {
+	if m.reached.IsZero() {
+		o.feed.tellWorker(m)
+	}
+}
+
+// probeFailed implements observer: the status tells it.
+func (o *shardOwner) probeFailed(*machine) {}
+
+// beganAnew implements observer.
+func (o *shardOwner) beganAnew(m *machine) {
+	m.anew = true
+	o.feed.tellWorker(m)
+}
+
+// stateReported implements observer.
+func (o *shardOwner) stateReported(a *attempt, s protocol.TaskState) {
+	if a.state != s {
+		a.state, a.since = s, o.n.now
+		o.feed.tellState(a)
+	}
+}
+
+// toldExit is an exited task that the leader was told of.
+type toldExit struct {
+	exit   shard.Exit
+	at     time.Time
+	forget bool // its result is recorded: the worker may forget it
+}
+
+// tellExitAgain is when the leader is told of an exit once more.
+const tellExitAgain = 3 * time.Second
+
+// exitReported implements observer. The exit is the proof that the attempt is gone; the
+// leader says when the worker may forget it.
+func (o *shardOwner) exitReported(m *machine, a *attempt, t *protocol.TaskReport) (forget bool) {
+	key := taskKey{t.Job, t.Index}
+	k := m.exits[key]
+	if k == nil || k.exit.Attempt != t.Attempt {
+		k = &toldExit{exit: shard.Exit{Task: taskOf(m, t), Why: t.Why, Saved: t.Saved}}
+		m.exits[key] = k
+	}
+	if a != nil {
+		o.remove(a)
+	}
+	if !k.forget && o.n.now.Sub(k.at) > tellExitAgain {
+		k.at = o.n.now
+		o.feed.tellExit(k)
+	}
+	return k.forget
+}
+
+// attemptGone implements observer.
+func (o *shardOwner) attemptGone(a *attempt, why string) {
+	o.n.log.Debug("attempt gone", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name, "why", why)
+	o.remove(a)
+	o.feed.tellGone(a, why)
+}
+
+// strayReported implements observer: only the leader knows whether a task that it didn't
+// tell of is to end.
+func (o *shardOwner) strayReported(m *machine, t *protocol.TaskReport) (stop bool) {
+	key := taskKey{t.Job, t.Index}
+	if j := o.jobs[t.Job]; j != nil && j.outcome != 0 {
+		return true
+	}
+	if m.strays[key] == t.Attempt {
+		return m.strayStops[key] == t.Attempt
+	}
+	m.strays[key] = t.Attempt
+	o.feed.tellStray(taskOf(m, t))
+	return false
+}
+
+// laterToken implements observer: somebody took the shard after this owner, which will
+// see it in the table.
+func (o *shardOwner) laterToken(m *machine) {
+	o.n.log.Info("a worker has seen a later owner", "machine", m.name, "shard", m.shard)
+	if h := o.held[m.shard]; h != nil && !h.overtaken {
+		h.setOvertaken()
+		o.sharding.readTable()
+	}
+}
+
+// jobRecorded implements observer: of a job, the owner needs no more than its name.
+func (o *shardOwner) jobRecorded(id string, _ json.RawMessage, _ bool) { o.job(id) }
+
+// jobEnded implements observer: its tasks are stopped without waiting for the leader.
+func (o *shardOwner) jobEnded(j *job, s protocol.JobState) {
+	j.outcome = s
+	for _, m := range o.fleetList {
+		for _, a := range m.sorted() {
+			if a.job == j {
+				o.stop(a, 0)
+			}
+		}
+	}
+}
+
+// jobRemoved implements observer.
+func (o *shardOwner) jobRemoved(id string) { delete(o.jobs, id) }
+
+// job gives a job by its name, known or not.
+func (o *shardOwner) job(id string) *job {
+	j := o.jobs[id]
+	if j == nil {
+		j = &job{Job: &protocol.Job{ID: id}}
+		o.jobs[id] = j
+		if f, ok := o.n.admission.finals[id]; ok {
+			j.outcome = f.state
+		}
+	}
+	return j
+}
+
+// add takes an attempt that the leader told of.
+func (o *shardOwner) add(m *machine, r shard.Run, inherited bool) {
+	a := &attempt{job: o.job(r.Job), task: r.Index, number: r.Attempt, machine: m, recorded: true, inherited: inherited, since: o.n.now}
+	o.hold(a)
+	if r.Stop || a.job.outcome != 0 {
+		o.stop(a, time.Duration(r.Grace)*time.Millisecond)
+		return
+	}
+	o.directSoon(m)
+}
+
+// remove takes an attempt out of its machine.
+func (o *shardOwner) remove(a *attempt) {
+	if a.stop {
+		a.machine.stops--
+	}
+	o.drop(a)
+}
+
+// stop wants an attempt ended.
+func (o *shardOwner) stop(a *attempt, grace time.Duration) {
+	if a.stop && a.grace <= grace {
+		return
+	}
+	if !a.stop {
+		a.stop = true
+		a.machine.stops++
+	}
+	a.grace, a.stopSent = grace, time.Time{}
+	if a.neverSent() {
+		o.attemptGone(a, "never sent")
+		return
+	}
+	o.directSoon(a.machine)
+}
+
+func taskOf(m *machine, t *protocol.TaskReport) shard.Task {
+	return shard.Task{Machine: m.name, Job: t.Job, Index: t.Index, Attempt: t.Attempt}
+}
+
+// grants are the shards that are served now, and their terms.
+func (o *shardOwner) grants() map[shard.ID]uint64 {
+	grants := map[shard.ID]uint64{}
+	for id, h := range o.held {
+		if h.served() {
+			grants[id] = h.tenure.term
+		}
+	}
+	return grants
+}
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -14,15 +14,8 @@
 func (l *lead) watchMachines() {
 	n := l.n
 	stalled := l.stalled()
-	if l.phase == settling && n.now.Sub(l.loadedAt) > askAfter {
-		var ask []*machine
-		for _, m := range l.fleetList {
-			// One that came by itself soon shows our token in its next report.
-			if m.reached.IsZero() && (!m.up && m.inherited || m.up && n.now.Sub(m.firstHeard) > tokenSoon) {
-				ask = append(ask, m)
-			}
-		}
-		l.probeSome(ask)
+	if l.phase == settling && l.shards == nil && n.now.Sub(l.loadedAt) > askAfter {
+		l.askUnreached()
 	}
 	if l.phase != active {
 		return
@@ -33,88 +26,154 @@
 		l.deaf = n.now
 		return
 	}
-	var silent, ask []*machine
-	zones, doubtful := map[string]*reach{}, map[string]bool{}
-	lost, known, inherited, heard, mute := 0, 0, 0, 0, 0
+	s := l.survey()
+	l.doubtful = s.doubtful
+	l.probeSome(s.ask)
+	if l.shards == nil && l.givesWay(s) {
+		return
+	}
+	l.giveUp(s)
+}
+
+// askUnreached asks the workers that nothing of ours has reached yet.
+func (l *lead) askUnreached() {
+	var ask []*machine
 	for _, m := range l.fleetList {
-		if m.inherited && (m.up || len(m.attempts) > 0) { // others may be booting yet
-			inherited++
-			switch {
-			case m.up:
-				heard++
-			case m.probeFails >= 3:
-				mute++
-			}
-		}
-		since := m.heard
-		if !m.up {
-			if len(m.attempts) == 0 {
-				continue
-			}
-			// It ran tasks for an earlier leader. Those that were asked since the records
-			// were read have been silent since then.
-			since = l.settled
-			if m.probeFails >= 3 {
-				since = l.loadedAt
-			}
-		}
-		if l.deaf.After(since) {
-			since = l.deaf
+		// One that came by itself soon shows our token in its next report.
+		if m.reached.IsZero() && (!m.up && m.inherited || m.up && l.n.now.Sub(m.firstHeard) > tokenSoon) {
+			ask = append(ask, m)
 		}
-		z := zones[m.zone]
-		if z == nil {
-			z = &reach{}
-			zones[m.zone] = z
+	}
+	l.probeSome(ask)
+}
+
+// survey is how the machines were at a moment.
+type survey struct {
+	silent   []*machine // to be given up
+	ask      []*machine // to be asked
+	zones    map[string]*reach
+	doubtful map[string]bool
+	// Of those that were up for this leader, those that don't answer calls.
+	known, lost int
+	// Of those that an earlier leader knew, those that were heard, and those that don't
+	// answer calls either.
+	inherited, heard, mute int
+}
+
+func (l *lead) survey() *survey {
+	s := &survey{zones: map[string]*reach{}, doubtful: map[string]bool{}}
+	for _, m := range l.fleetList {
+		since, expected := l.silentSince(m)
+		if m.inherited && expected { // others may be booting yet
+			s.countInherited(m)
 		}
-		d := n.now.Sub(since)
-		late := d > l.suspectAfter() || m.probeFails > 0
-		z.machines++
-		if late {
-			z.late++
+		if expected {
+			s.add(l, m, l.n.now.Sub(since))
 		}
-		if m.probeFails > 0 {
-			doubtful[m.zone] = true
+	}
+	return s
+}
+
+// silentSince is since when a machine is silent, if its worker should be up.
+func (l *lead) silentSince(m *machine) (since time.Time, expected bool) {
+	since = m.heard
+	if !m.up {
+		if len(m.attempts) == 0 {
+			return since, false
 		}
-		if m.up {
-			known++
-			if m.probeFails >= 2 {
-				lost++
-			}
+		// It ran tasks for an earlier leader. Those that were asked since the records
+		// were read have been silent since then.
+		since = l.settled
+		if m.probeFails >= 3 {
+			since = l.loadedAt
 		}
-		if l.wantsProbe(m, d) {
-			ask = append(ask, m)
+	}
+	if l.shards != nil {
+		heard, ok := l.shards.heardSince(m)
+		if !ok {
+			return l.n.now, true // nobody tells of it
 		}
-		if l.lost(m, d) {
-			silent = append(silent, m)
+		since = latest(since, heard)
+	}
+	return latest(since, l.deaf), true
+}
+
+func (s *survey) countInherited(m *machine) {
+	s.inherited++
+	switch {
+	case m.up:
+		s.heard++
+	case m.probeFails >= 3:
+		s.mute++
+	}
+}
+
+// add takes in a machine that was silent for a time.
+func (s *survey) add(l *lead, m *machine, silent time.Duration) {
+	z := s.zones[m.zone]
+	if z == nil {
+		z = &reach{}
+		s.zones[m.zone] = z
+	}
+	z.machines++
+	if silent > l.suspectAfter() || m.probeFails > 0 {
+		z.late++
+	}
+	if m.probeFails > 0 {
+		s.doubtful[m.zone] = true
+	}
+	if m.up {
+		s.known++
+		if m.probeFails >= 2 {
+			s.lost++
 		}
 	}
-	l.doubtful = doubtful
-	l.probeSome(ask)
-	// Only machines that this leader has heard count: when those are lost to it,
-	// another node may still reach them. Where it doesn't, it won't have heard them
-	// either and stays. Counting all, leaders of a cluster that had lost most
-	// machines for good handed over to one another without end. It comes before
-	// any release: a leader that an outage kept from seeing it in time returned
-	// its whole fleet.
-	if known > 2 && lost*2 > known && n.now.Sub(l.settled) > 2*time.Second && n.resignUnfit("most machines are out of reach") {
-		return
+	if l.wantsProbe(m, silent) {
+		s.ask = append(s.ask, m)
 	}
-	// Nor is it the one to lead if it never heard most of those that the leader before
-	// knew, while another node hasn't tried.
-	// Those that don't answer calls either needn't be waited for: with two nodes in a row
-	// that were cut off from the workers, all leases were over before the third led.
-	unheard := inherited > 2 && heard*3 < inherited
-	if unheard && (mute*3 > inherited*2 || n.now.Sub(l.loadedAt) > l.unheardAfter()) && n.resignUnfit("few machines are heard") {
-		return
+	if l.lost(m, silent) {
+		s.silent = append(s.silent, m)
+	}
+}
+
+// givesWay lets another node lead that may reach machines which this one doesn't, and
+// reports whether it did.
+//
+// Only machines that this leader has heard count as lost: another node may still reach
+// them. Where it doesn't, it won't have heard them either and stays. Counting all, leaders
+// of a cluster that had lost most machines for good handed over to one another without
+// end. It comes before any release: a leader that an outage kept from seeing it in time
+// returned its whole fleet.
+//
+// Nor is it the one to lead if it never heard most of those that the leader before knew,
+// while another node hasn't tried. Those that don't answer calls either needn't be waited
+// for: with two nodes in a row that were cut off from the workers, all leases were over
+// before the third led.
+func (l *lead) givesWay(s *survey) bool {
+	n := l.n
+	if s.known > 2 && s.lost*2 > s.known && n.now.Sub(l.settled) > 2*time.Second && n.resignUnfit("most machines are out of reach") {
+		return true
 	}
+	unheard := s.inherited > 2 && s.heard*3 < s.inherited
+	waited := s.mute*3 > s.inherited*2 || n.now.Sub(l.loadedAt) > l.unheardAfter()
+	return unheard && waited && n.resignUnfit("few machines are heard")
+}
+
+// giveUp returns silent machines, but for those whose zone is rather cut off, and those
+// that are kept for their replicas.
+func (l *lead) giveUp(s *survey) {
+	n := l.n
 	h := l.newHolds()
-	for _, m := range silent {
-		l.endSilent(m)
+	for _, m := range s.silent {
+		if l.serves(m) {
+			l.endSilent(m)
+		}
 		quiet := n.now.Sub(latest(m.heard, m.reached, l.deaf, l.elected))
-		if !zones[m.zone].cut() || quiet > n.cfg.WorkerLease {
-			if m.releasing || !h.keep(m, quiet) {
-				l.release(m, whySilent)
-			}
+		if s.zones[m.zone].cut() && quiet <= n.cfg.WorkerLease {
+			continue
+		}
+		if m.releasing || !h.keep(m, quiet) {
+			l.release(m, whySilent)
 		}
 	}
 	l.fleet.held = h.jobs
