Stand-in: a node may be a process of its own; machines have addresses

Need: a live form of the stand-in serves the same simulated services to real controllers.

Change: a cluster can be made with controllers that don't run yet, on any clock, and can be advanced to a time. A node is a core in this process, as before, or a process that requests are sent to, with the timeout of who asks. Workers' addresses are given by who makes the cluster; the cloud learns who asks, and can refuse one node alone as the state service does.

--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -16,16 +16,18 @@
 	hosts    []*host // in order of creation; returned ones too
 	requests map[string][]string
 	outage   bool
-	late     time.Duration // rentals and returns are carried out late, unanswered
-	never    bool          // what is rented now never comes up
-	dead     float64       // share of what is rented now that never comes up
-	factor   float64       // of boot times; 0 for 1
-	answers  time.Duration // rentals are carried out at once and answered this much later
+	refused  map[string]bool // nodes that alone get 503
+	late     time.Duration   // rentals and returns are carried out late, unanswered
+	never    bool            // what is rented now never comes up
+	dead     float64         // share of what is rented now that never comes up
+	factor   float64         // of boot times; 0 for 1
+	answers  time.Duration   // rentals are carried out at once and answered this much later
 }
 
 // host is one machine of the cloud.
 type host struct {
 	name, typ, zone string
+	addr            string // of its worker
 	spot            bool
 	rented          time.Time
 	up              time.Time // zero until it is
@@ -35,7 +37,7 @@
 }
 
 func newCloud(c *Cluster, types []protocol.MachineType, capacity int) *cloud {
-	return &cloud{c: c, types: types, capacity: capacity, requests: map[string][]string{}}
+	return &cloud{c: c, types: types, capacity: capacity, refused: map[string]bool{}, requests: map[string][]string{}}
 }
 
 func (k *cloud) spec(name string) *protocol.MachineType {
@@ -50,6 +52,7 @@
 // start creates a machine that is up after boot.
 func (k *cloud) start(typ, zone string, spot bool, boot time.Duration) *host {
 	h := &host{name: fmt.Sprintf("vm-%06d", len(k.hosts)), typ: typ, zone: zone, spot: spot, rented: k.c.now}
+	h.addr = k.c.address(h)
 	k.hosts = append(k.hosts, h)
 	if k.never || k.dead > 0 && k.c.rng.Float64() < k.dead {
 		return h
@@ -93,8 +96,8 @@
 	return n
 }
 
-func (k *cloud) serve(method, target string, body []byte, respond func(int, []byte)) {
-	if k.outage {
+func (k *cloud) serve(from, method, target string, body []byte, respond func(int, []byte)) {
+	if k.outage || k.refused[from] {
 		respond(503, protocol.CloudError("trouble"))
 		return
 	}
@@ -173,7 +176,7 @@
 		if h.name <= after || h.rented.After(at) || !h.gone.IsZero() && !h.gone.After(at) {
 			continue
 		}
-		m := protocol.ListedMachine{Name: h.name, Addr: h.name, Type: h.typ, Zone: h.zone, Spot: h.spot,
+		m := protocol.ListedMachine{Name: h.name, Addr: h.addr, Type: h.typ, Zone: h.zone, Spot: h.spot,
 			State: protocol.Booting, Age: at.Sub(h.rented)}
 		if !h.up.IsZero() && !h.up.After(at) {
 			m.State = protocol.Up
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -75,6 +75,7 @@
 	links    map[link]*cut
 	used     map[string]float64 // CPUs, by team
 	cost     time.Duration      // of each event on a node
+	address  func(*host) string // of a new machine's worker
 	broken   []string
 	copies   bool // direct orders that were carried out arrive once more, later
 	// Reports arrive once more, after up to this long.
@@ -96,7 +97,8 @@
 	c      *Cluster
 	name   string
 	zone   string
-	core   *coordination.Node // nil while it is down
+	core   *coordination.Node // nil while it is down, or runs as a process of its own
+	remote process            // nil when the core runs in this process
 	boots  uint64
 	wake   *event
 	wakeAt time.Time
@@ -109,6 +111,29 @@
 	ticks  bool      // a tick of the core is among them
 }
 
+// process is a controller that runs as a process of its own.
+type process interface {
+	running() bool
+	// request sends the process a request. respond runs when the answer is there, with
+	// status 0 when none came in time.
+	request(method, target string, body []byte, timeout time.Duration, respond func(status int, body []byte))
+}
+
+// up reports whether the node's process runs.
+func (n *node) up() bool {
+	if n.remote != nil {
+		return n.remote.running()
+	}
+	return n.core != nil
+}
+
+// Names of hosts on links, besides those of nodes and machines.
+const (
+	stateHost = "state"
+	cloudHost = "cloud"
+	users     = "users"
+)
+
 // link is a direction between two hosts; cut is what happens on it.
 type link struct{ from, to string }
 
@@ -126,10 +151,20 @@
 	}
 }
 
-// New starts a cluster.
+// New starts a cluster on a simulated clock, with every controller's core in this process.
 func New(o Options) *Cluster {
-	begin := time.Date(2026, 9, 21, 12, 0, 0, 0, time.UTC)
-	c := &Cluster{now: begin, begin: begin, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[string]*worker{},
+	c := newCluster(o, time.Date(2026, 9, 21, 12, 0, 0, 0, time.UTC), func(h *host) string { return h.name })
+	for _, n := range c.nodes {
+		n.start()
+	}
+	return c
+}
+
+// newCluster makes a cluster whose controllers don't run yet. address gives each new
+// machine its worker's address.
+func newCluster(o Options, begin time.Time, address func(*host) string) *Cluster {
+	c := &Cluster{address: address,
+		now: begin, begin: begin, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[string]*worker{},
 		cost: o.Cost, jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}, kept: map[string][][]byte{}}
 	if o.Log == nil {
 		o.Log = io.Discard
@@ -173,15 +208,14 @@
 	for i := range o.Nodes {
 		c.nodes = append(c.nodes, &node{c: c, name: fmt.Sprintf("node-%d", i), zone: o.Zones[i%len(o.Zones)]})
 	}
-	for _, n := range c.nodes {
-		n.start()
-	}
 	return c
 }
 
 // Advance lets time pass.
-func (c *Cluster) Advance(d time.Duration) {
-	end := c.now.Add(d)
+func (c *Cluster) Advance(d time.Duration) { c.advanceTo(c.now.Add(d)) }
+
+// advanceTo lets everything happen that is planned up to a time.
+func (c *Cluster) advanceTo(end time.Time) {
 	for len(c.events) > 0 && !c.events[0].at.After(end) {
 		e := heap.Pop(&c.events).(*event)
 		c.now = e.at
@@ -248,7 +282,7 @@
 // Isolate cuts a node from the state service and the other nodes, not from
 // workers and users.
 func (c *Cluster) Isolate(n *node) {
-	c.Cut(n.name, "state", false)
+	c.Cut(n.name, stateHost, false)
 	for _, p := range c.nodes {
 		if p != n {
 			c.Cut(n.name, p.name, false)
@@ -358,8 +392,12 @@
 }
 
 // request brings a request to the node; a node that is down answers nothing,
-// as does one whose connection is cut.
-func (n *node) request(method, target string, body []byte, respond func(status int, body []byte)) {
+// as does one whose connection is cut. The sender waits for as long as timeout.
+func (n *node) request(method, target string, body []byte, timeout time.Duration, respond func(status int, body []byte)) {
+	if n.remote != nil {
+		n.remote.request(method, target, body, timeout, respond)
+		return
+	}
 	if n.core == nil {
 		return
 	}
@@ -439,9 +477,9 @@
 		}
 		switch k.To {
 		case coordination.State:
-			c.request(n.name, "state", func(respond func(int, []byte)) { c.state.serve(n.name, k.Method, k.Target, k.Body, respond) }, done)
+			c.request(n.name, stateHost, func(respond func(int, []byte)) { c.state.serve(n.name, k.Method, k.Target, k.Body, respond) }, done)
 		case coordination.Cloud:
-			c.request(n.name, "cloud", func(respond func(int, []byte)) { c.cloud.serve(k.Method, k.Target, k.Body, respond) }, done)
+			c.request(n.name, cloudHost, func(respond func(int, []byte)) { c.cloud.serve(n.name, k.Method, k.Target, k.Body, respond) }, done)
 		case coordination.Worker:
 			w := c.workers[k.Addr]
 			if w == nil {
@@ -500,7 +538,7 @@
 func (c *Cluster) Leader() int {
 	name := c.state.leader()
 	for i, n := range c.nodes {
-		if n.name == name && n.core != nil {
+		if n.name == name && n.up() {
 			return i
 		}
 	}
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -130,7 +130,7 @@
 	}
 	for range 3 {
 		for i, n := range c.nodes {
-			if n.core != nil {
+			if n.up() {
 				c.after(time.Duration(c.rng.Int64N(int64(8*time.Millisecond))), func() { c.Poll(i, j.spec.ID, func(int, string) {}) })
 			}
 		}
@@ -243,7 +243,7 @@
 				// The new leader learns of its election within the first of these times.
 				for _, within := range []time.Duration{6 * time.Millisecond, 3 * time.Second} {
 					c.after(time.Duration(c.rng.Int64N(int64(within))), func() {
-						c.send(name, n.name, func() { n.request("POST", protocol.PathReport, body, func(int, []byte) {}) })
+						c.send(name, n.name, func() { n.request("POST", protocol.PathReport, body, reportTimeout, func(int, []byte) {}) })
 					})
 				}
 			}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -130,7 +130,7 @@
 	slices.Sort(ids)
 	for i := range count {
 		c.after(over*time.Duration(i)/time.Duration(count), func() {
-			if node := c.rng.IntN(len(c.nodes)); c.nodes[node].core != nil {
+			if node := c.rng.IntN(len(c.nodes)); c.nodes[node].up() {
 				c.Poll(node, ids[c.rng.IntN(len(ids))], func(int, string) {})
 			}
 		})
@@ -183,7 +183,10 @@
 	return ""
 }
 
-// user sends a request of a user's; without a response in 5 s the status is 0.
+// userTimeout is how long a user waits for an answer.
+const userTimeout = 5 * time.Second
+
+// user sends a request of a user's; without a response in time the status is 0.
 func (c *Cluster) user(node int, method, target string, body []byte, done func(status int, body []byte)) {
 	n := c.nodes[node]
 	finished := false
@@ -193,8 +196,8 @@
 			done(status, body)
 		}
 	}
-	c.after(5*time.Second, func() { finish(0, nil) })
-	c.request("users", n.name, func(respond func(int, []byte)) { n.request(method, target, body, respond) }, finish)
+	c.after(userTimeout, func() { finish(0, nil) })
+	c.request(users, n.name, func(respond func(int, []byte)) { n.request(method, target, body, userTimeout, respond) }, finish)
 }
 
 // told is the final state that a job's user was told, 0 for none.
@@ -311,7 +314,7 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		for i, n := range c.nodes {
-			if n.core != nil {
+			if n.up() {
 				c.Poll(i, id, func(status int, _ string) {
 					if status != 200 {
 						list = append(list, fmt.Sprintf("%s at %s: %d", id, n.name, status))
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -139,7 +139,7 @@
 
 func (w *worker) content() *protocol.Report {
 	w.seq++
-	r := &protocol.Report{Machine: w.name, Addr: w.name, Type: w.host.typ, Zone: w.host.zone, Spot: w.host.spot,
+	r := &protocol.Report{Machine: w.name, Addr: w.host.addr, Type: w.host.typ, Zone: w.host.zone, Spot: w.host.spot,
 		Session: w.session, Seq: w.seq, Token: w.token}
 	if !w.notice.IsZero() {
 		r.HasNotice, r.Notice = true, max(0, w.notice.Sub(w.c.now))
@@ -150,6 +150,9 @@
 	return r
 }
 
+// reportTimeout is how long a worker waits for the answer to a report.
+const reportTimeout = 4 * time.Second
+
 func (w *worker) report() {
 	c := w.c
 	if w.reporting {
@@ -170,8 +173,8 @@
 		}
 	}
 	tryNext := func() { w.node++; w.reportIn(time.Second) }
-	c.after(4*time.Second, func() { w.run(func() { finish(tryNext) }) })
-	if n.core == nil && !n.silent {
+	c.after(reportTimeout, func() { w.run(func() { finish(tryNext) }) })
+	if n.remote == nil && n.core == nil && !n.silent {
 		// The host refuses the connection.
 		c.after(2*time.Millisecond, func() { w.run(func() { finish(tryNext) }) })
 		return
@@ -182,7 +185,7 @@
 	var replied time.Time // when the controller sent its answer
 	serve := func(respond func(int, []byte)) {
 		c.around(onReport, []string{n.name, n.name + "/" + w.name}, func() {
-			n.request("POST", protocol.PathReport, body, func(status int, body []byte) {
+			n.request("POST", protocol.PathReport, body, reportTimeout, func(status int, body []byte) {
 				replied = c.now
 				respond(status, body)
 			})
