--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,37 +83,20 @@
 }
 
 type file struct {
-	Name       string `toml:"host_name"`
-	Zone       string `toml:"domain"`
-	Listen     string `toml:"public_addr"`
-	PeerListen string `toml:"back"`
-	Peers      []struct {
-		Name string `toml:"host_name"`
-		Zone string `toml:"domain"`
-		Addr string `toml:"endpoint"`
-	} `toml:"seeds"`
-	Services struct {
+	Name       string     `toml:"host_name"`
+	Zone       string     `toml:"domain"`
+	Listen     string     `toml:"public_addr"`
+	PeerListen string     `toml:"back"`
+	Peers      []filePeer `toml:"seeds"`
+	Services   struct {
 		Cloud string `toml:"cloud"`
 		State string `toml:"state"`
 	} `toml:"endpoints"`
 	Params struct {
-		TimeBoundMS float64 `toml:"time_bound_ms"`
-		Teams       []struct {
-			Name    string  `toml:"name"`
-			CPUs    float64 `toml:"cpus"`
-			CPUsMax float64 `toml:"cpus_max"`
-			GPUs    float64 `toml:"gpus"`
-			GPUsMax float64 `toml:"gpus_max"`
-		} `toml:"teams"`
-		Objectives []struct {
-			Kind    string  `toml:"kind"`
-			Class   string  `toml:"class"`
-			WithinS float64 `toml:"within_s"`
-			AfterS  float64 `toml:"after_s"`
-			Share   float64 `toml:"share"`
-			Times   float64 `toml:"times"`
-		} `toml:"objectives"`
-		Workers struct {
+		TimeBoundMS float64         `toml:"time_bound_ms"`
+		Teams       []fileTeam      `toml:"teams"`
+		Objectives  []fileObjective `toml:"objectives"`
+		Workers     struct {
 			ReportS float64 `toml:"report_s"`
 			LeaseS  float64 `toml:"lease_s"`
 			CancelS float64 `toml:"cancel_s"`
@@ -136,6 +119,29 @@
 	} `toml:"facts"`
 }
 
+type filePeer struct {
+	Name string `toml:"host_name"`
+	Zone string `toml:"domain"`
+	Addr string `toml:"endpoint"`
+}
+
+type fileTeam struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+type fileObjective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	AfterS  float64 `toml:"after_s"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+}
+
 // minCancelSlack is what a cancellation must have beyond a worker's lease, for a leader to
 // learn of it before it renews another one.
 const minCancelSlack = 3 * time.Second
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -83,6 +84,24 @@
 	}
 }
 
+// TestEncode writes settings and reads them again.
+func TestEncode(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Teams = append(s.Teams, Team{Name: "guest", CPUsMax: NoLimit, GPUsMax: NoLimit})
+	s.Objectives = append(s.Objectives, Objective{Kind: "finished", Class: "c", Within: time.Minute, After: time.Second, Share: 0.5, Times: 2})
+	raw, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Parse(raw)
+	if err != nil || !reflect.DeepEqual(got, s) {
+		t.Errorf("written and read: %+v, %v, want %+v", got, err, s)
+	}
+}
+
 func TestOperator(t *testing.T) {
 	o := DefaultOperator()
 	if err := ParseOperator([]byte(`{"imageWeight": 2.5, "spot": false}`), &o); err != nil {
