Live stand-in: real controllers over loopback against the simulated services, in real time

Need: tests of several real processes (killed, stopped, refused, cut off), and a way to try the project on one machine. Until now only cores inside the test's process met the stand-in.

Change: Live serves the same cluster, with the same rule checks, over HTTP/1.1 on the loopback interface. One goroutine and one lock advance it to the time it is; requests enter under the lock and are answered when the stand-in responds, so an open watch costs no polling. Every node has its own addresses of the state service and the cloud, and every ordered pair of controllers a TCP forwarder; both obey the links that scenarios cut, hold and reset. Every simulated worker has a listener of its own. The cloud can list machines that are not simulated. Controllers are child processes that are killed, stopped, continued and restarted, log to a file each, and die with the stand-in; one that ends by itself counts as a broken rule.

Scenario files unchanged.

--- a/internal/standin/calm.go
+++ b/internal/standin/calm.go
@@ -100,6 +100,9 @@
 // waitsBeside reports whether a job has a task that is nowhere while a machine has
 // room for it.
 func (c *Cluster) waitsBeside(j *userJob, p *placement) bool {
+	if c.cloud.external {
+		return false // its tasks may run where they aren't seen
+	}
 	s := &j.spec
 	for _, team := range c.settings.Teams {
 		if team.Name == s.Team && p.taken[s.Team]+s.CPUs > team.CPUsMax+protocol.Epsilon {
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -2,6 +2,9 @@
 // deals with: the state service, the cloud, workers, users and the network
 // between them, on a simulated clock. It checks the protocol's rules at every
 // step, so that each test of it tests them too.
+//
+// Live serves the same cluster over HTTP on the loopback interface, in real time, to
+// controllers that are processes.
 package standin
 
 import (
@@ -66,18 +69,21 @@
 	rng    *rand.Rand
 	log    *slog.Logger
 
-	settings config.Settings
-	nodes    []*node
-	state    *stateService
-	cloud    *cloud
-	workers  map[string]*worker
-	jobs     map[string]*userJob
-	links    map[link]*cut
-	used     map[string]float64 // CPUs, by team
-	cost     time.Duration      // of each event on a node
-	address  func(*host) string // of a new machine's worker
-	broken   []string
-	copies   bool // direct orders that were carried out arrive once more, later
+	settings    config.Settings
+	nodes       []*node
+	state       *stateService
+	cloud       *cloud
+	workers     map[string]*worker
+	jobs        map[string]*userJob
+	links       map[link]*cut
+	linkChanges int                // so far
+	used        map[string]float64 // CPUs, by team
+	cost        time.Duration      // of each event on a node
+	address     func(*host) string // of a new machine's worker
+	broken      []string
+	// Jobs come from users outside of the stand-in, too.
+	outsiders bool
+	copies    bool // direct orders that were carried out arrive once more, later
 	// Reports arrive once more, after up to this long.
 	reportCopies time.Duration
 	// Copies of that share of the reports are kept and reach every controller as
@@ -264,6 +270,7 @@
 func (c *Cluster) CutOneWay(from, to string, hold bool) {
 	if l := (link{from, to}); c.links[l] == nil {
 		c.links[l] = &cut{hold: hold}
+		c.linkChanges++
 	}
 }
 
@@ -271,6 +278,7 @@
 func (c *Cluster) ResetOneWay(from, to string) {
 	c.CutOneWay(from, to, false)
 	c.links[link{from, to}].reset = true
+	c.linkChanges++
 }
 
 // resets reports whether connections fail on the way between two hosts.
@@ -332,6 +340,7 @@
 	for _, l := range list {
 		k := c.links[l]
 		delete(c.links, l)
+		c.linkChanges++
 		var wait time.Duration
 		for _, f := range k.held {
 			wait = max(wait, c.delay()) // in the order in which they were sent
--- /dev/null
+++ b/internal/standin/live_controller.go
@@ -0,0 +1,213 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"brasskeel/internal/config"
+)
+
+// ErrRuns says that a controller that was to be started runs already.
+var ErrRuns = errors.New("the controller runs already")
+
+// maxAnswerBody bounds what is read of a controller's answer.
+const maxAnswerBody = 1 << 20
+
+// Controller is a controller that runs as a process of its own.
+type Controller struct {
+	SettingsFile string // its settings
+	LogFile      string // what its processes wrote to standard error
+
+	live      *Live
+	settings  config.Settings
+	transport *http.Transport       // of those who ask it
+	current   atomic.Pointer[child] // the latest process, nil before the first
+}
+
+// child is one process of a controller.
+type child struct {
+	command *exec.Cmd
+	killed  atomic.Bool
+	ended   chan struct{}
+}
+
+// newController prepares a controller: its ports, its addresses of the services, and its
+// connections to the other controllers. It is called with the lock held.
+func newController(l *Live, n *node) (*Controller, error) {
+	k := &Controller{live: l, settings: l.cluster.settings,
+		SettingsFile: filepath.Join(l.options.Dir, n.name+".toml"),
+		LogFile:      filepath.Join(l.options.Dir, n.name+".log"),
+		transport:    &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}
+	s := &k.settings
+	s.Name, s.Zone = n.name, n.zone
+	var err error
+	if s.Listen, err = l.reservePort(); err != nil {
+		return nil, err
+	}
+	if s.PeerListen, err = l.reservePort(); err != nil {
+		return nil, err
+	}
+	if s.State, err = l.serveState(n); err != nil {
+		return nil, err
+	}
+	s.Cloud, err = l.serveCloud(n)
+	return k, err
+}
+
+// writeSettings writes the settings file, once all controllers have their ports. It is
+// called with the lock held.
+func (k *Controller) writeSettings() error {
+	for _, peer := range k.live.controllers {
+		if peer == k {
+			continue
+		}
+		addr, err := k.live.forward(k.settings.Name, peer.settings.Name, peer.settings.PeerListen)
+		if err != nil {
+			return err
+		}
+		k.settings.Peers = append(k.settings.Peers, config.Peer{Name: peer.settings.Name, Zone: peer.settings.Zone, Addr: addr})
+	}
+	raw, err := k.settings.Encode()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(k.SettingsFile, raw, 0o644)
+}
+
+// Name is the controller's name.
+func (k *Controller) Name() string { return k.settings.Name }
+
+// PublicAddr is where the controller serves users and workers.
+func (k *Controller) PublicAddr() string { return k.settings.Listen }
+
+// StateAddr is where the controller finds the state service.
+func (k *Controller) StateAddr() string { return k.settings.State }
+
+// CloudAddr is where the controller finds the cloud.
+func (k *Controller) CloudAddr() string { return k.settings.Cloud }
+
+// Start starts the controller's process.
+func (k *Controller) Start() error {
+	if k.running() {
+		return fmt.Errorf("%s: %w", k.Name(), ErrRuns)
+	}
+	log, err := os.OpenFile(k.LogFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	arguments := []string{"control", "--config", k.SettingsFile}
+	if k.live.options.Operator != "" {
+		arguments = append(arguments, "--operator", k.live.options.Operator)
+	}
+	p := &child{command: exec.Command(k.live.options.Binary, arguments...), ended: make(chan struct{})}
+	p.command.Stderr = log
+	// In a process group of its own, an interrupt from the terminal reaches only the
+	// stand-in; when that dies without a word, its controllers die, too.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	k.live.work.Go(func() {
+		defer log.Close()
+		k.attend(p, started)
+	})
+	return <-started
+}
+
+// attend starts a process and waits for its end, on one thread: it is this thread's end
+// that the system takes for the death of the parent.
+func (k *Controller) attend(p *child, started chan<- error) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	if err := p.command.Start(); err != nil {
+		started <- err
+		return
+	}
+	k.current.Store(p)
+	started <- nil
+	err := p.command.Wait()
+	close(p.ended)
+	k.live.Do(func(c *Cluster) {
+		if !p.killed.Load() {
+			c.breaks("ended", "%s by itself: %v", k.Name(), err)
+		}
+	})
+}
+
+// running implements process.
+func (k *Controller) running() bool {
+	p := k.current.Load()
+	if p == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the process without a word, if there is one.
+func (k *Controller) Kill() {
+	if p := k.current.Load(); p != nil {
+		p.killed.Store(true)
+		_ = p.command.Process.Kill()
+		<-p.ended
+	}
+}
+
+// Stop lets the process stand still until Continue.
+func (k *Controller) Stop() error { return k.signal(syscall.SIGSTOP) }
+
+// Continue lets it go on.
+func (k *Controller) Continue() error { return k.signal(syscall.SIGCONT) }
+
+func (k *Controller) signal(s syscall.Signal) error {
+	p := k.current.Load()
+	if p == nil {
+		return os.ErrProcessDone
+	}
+	return p.command.Process.Signal(s)
+}
+
+// request implements process.
+func (k *Controller) request(method, target string, body []byte, timeout time.Duration, respond func(status int, body []byte)) {
+	k.live.work.Go(func() {
+		ctx, cancel := context.WithTimeout(k.live.ctx, timeout)
+		defer cancel()
+		status, body, err := k.exchange(ctx, method, target, body)
+		if err != nil {
+			status, body = 0, nil
+		}
+		k.live.Do(func(*Cluster) { respond(status, body) })
+	})
+}
+
+// exchange sends the process a request and reads its answer.
+func (k *Controller) exchange(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+k.settings.Listen+target, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	if len(body) > 0 {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	// Not a client, which would follow redirects.
+	response, err := k.transport.RoundTrip(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBody))
+	return response.StatusCode, answer, err
+}
--- /dev/null
+++ b/internal/standin/live_services.go
@@ -0,0 +1,85 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// controllers stands for every controller on links to machines: a worker's address is the
+// same for all of them, so it can't be told which of them asks.
+const controllers = "controllers"
+
+// maxRequestBody is the longest body that the protocol allows in a request.
+const maxRequestBody = 64 << 10
+
+// service answers one request, later, once, or never. It is called with the lock held.
+type service func(method, target string, body []byte, respond func(status int, body []byte))
+
+// answer is what came of a request; status 0 says that its connection fails.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// handler lets a service on one host answer those that another host sends over HTTP. A
+// request that gets no answer stays open until its sender gives it up.
+func (l *Live) handler(from, to string, serve service) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
+		if err != nil {
+			write(w, answer{status: http.StatusBadRequest})
+			return
+		}
+		answers := make(chan answer, 1)
+		l.Do(func(c *Cluster) {
+			c.request(from, to,
+				func(respond func(int, []byte)) { serve(r.Method, r.RequestURI, body, respond) },
+				func(status int, body []byte) { answers <- answer{status, body} })
+		})
+		select {
+		case a := <-answers:
+			write(w, a)
+		case <-r.Context().Done():
+		}
+	})
+}
+
+// write sends an answer, or ends the connection.
+func write(w http.ResponseWriter, a answer) {
+	if a.status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
+}
+
+// serveState gives a node its own address of the state service.
+func (l *Live) serveState(n *node) (string, error) {
+	return l.listen(l.handler(n.name, stateHost, func(method, target string, body []byte, respond func(int, []byte)) {
+		l.cluster.state.serve(n.name, method, target, body, respond)
+	}))
+}
+
+// serveCloud gives a node its own address of the cloud.
+func (l *Live) serveCloud(n *node) (string, error) {
+	return l.listen(l.handler(n.name, cloudHost, func(method, target string, body []byte, respond func(int, []byte)) {
+		l.cluster.cloud.serve(n.name, method, target, body, respond)
+	}))
+}
+
+// serveWorker gives a machine an address. Nobody answers there before its worker is up,
+// nor after it is gone.
+func (l *Live) serveWorker(h *host) string {
+	addr, err := l.listen(l.handler(controllers, h.name, func(method, target string, body []byte, respond func(int, []byte)) {
+		if h.worker != nil {
+			h.worker.serve(method, target, body, l.cluster.now, respond)
+		}
+	}))
+	if err != nil {
+		l.failures = append(l.failures, err)
+	}
+	return addr
+}
--- /dev/null
+++ b/internal/standin/live_test.go
@@ -0,0 +1,237 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// TestLive brings trouble to real controllers over a live stand-in. The tests wait for
+// conditions, in real time, and go on side by side, as they mostly wait.
+func TestLive(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "brasskeel")
+	if out, err := exec.Command("go", "build", "-o", binary, "brasskeel/cmd/brasskeel").CombinedOutput(); err != nil {
+		t.Fatalf("go build: %v\n%s", err, out)
+	}
+	for name, test := range map[string]func(*liveTest){
+		"killed leader":   killedLeader,
+		"stopped leader":  stoppedLeader,
+		"refused leader":  refusedLeader,
+		"isolated leader": isolatedLeader,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(newLiveTest(t, binary))
+		})
+	}
+}
+
+// killedLeader kills the leader and starts it again later.
+func killedLeader(t *liveTest) {
+	leader, index := t.troubleMidway(func(leader *Controller, _ int) { leader.Kill() })
+	t.awaitAllDone()
+	if err := leader.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.awaitAnswer(index)
+}
+
+// stoppedLeader stops the leader for longer than its lease and lets it go on.
+func stoppedLeader(t *liveTest) {
+	leader, index := t.troubleMidway(func(leader *Controller, _ int) {
+		if err := leader.Stop(); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if err := leader.Continue(); err != nil {
+		t.Fatal(err)
+	}
+	t.awaitAllDone()
+	t.awaitAnswer(index)
+}
+
+// refusedLeader lets the state service refuse the leader alone.
+func refusedLeader(t *liveTest) {
+	leader, index := t.troubleMidway(func(leader *Controller, _ int) {
+		t.Do(func(c *Cluster) { c.state.refused[leader.Name()] = true })
+	})
+	status := 0
+	t.Do(func(c *Cluster) { c.Poll(index, unknownJob, func(s int, _ string) { status = s }) })
+	t.await("the refused node to answer", func(*Cluster) bool { return status != 0 })
+	if status != 503 {
+		t.Errorf("a refused node answers %d for a job that it can't know", status)
+	}
+	t.awaitAllDone()
+	t.Do(func(c *Cluster) { c.state.admit(leader.Name()) })
+	t.awaitAnswer(index)
+}
+
+// isolatedLeader cuts the leader from the state service and the other controllers.
+func isolatedLeader(t *liveTest) {
+	_, index := t.troubleMidway(func(_ *Controller, index int) {
+		t.Do(func(c *Cluster) { c.Isolate(c.nodes[index]) })
+	})
+	t.awaitAllDone()
+	t.Do((*Cluster).Heal)
+	t.awaitAnswer(index)
+}
+
+// liveTest is three controllers over six machines, with some batch jobs and a service.
+type liveTest struct {
+	*testing.T
+	*Live
+	ctx context.Context
+}
+
+// liveWithin bounds all that a test waits for.
+const liveWithin = 40 * time.Second
+
+const (
+	earlyJobs   = 4 // batch jobs submitted before the trouble
+	liveJobs    = 6 // all batch jobs; the others are submitted during it
+	liveTasks   = 4 // of each batch job
+	replicas    = 2 // of the service
+	liveService = "run-000900"
+	unknownJob  = "run-000999" // nobody submits it
+)
+
+func liveJob(i int) string { return fmt.Sprintf("run-%06d", i+1) }
+
+func newLiveTest(t *testing.T, binary string) *liveTest {
+	dir := t.TempDir()
+	l, err := NewLive(LiveOptions{Options: Options{Seed: 1, Nodes: 3, Machines: 6, Capacity: 20}, Binary: binary, Dir: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), liveWithin)
+	lt := &liveTest{t, l, ctx}
+	t.Cleanup(func() {
+		cancel()
+		l.Close()
+		lt.judge()
+	})
+	if err := l.StartControllers(); err != nil {
+		t.Fatal(err)
+	}
+	lt.leader()
+	l.Do(func(c *Cluster) {
+		c.submitBatch(0, earlyJobs)
+		c.submitLive(liveService, protocol.Service, replicas, 0)
+	})
+	return lt
+}
+
+// judge fails the test when anything went wrong, and then shows what controllers logged.
+func (t *liveTest) judge() {
+	for _, broken := range t.Broken() {
+		t.Error(broken)
+	}
+	if !t.Failed() {
+		return
+	}
+	for _, k := range t.Controllers() {
+		raw, err := os.ReadFile(k.LogFile)
+		t.Logf("%s, %v:\n%s", k.LogFile, err, raw)
+	}
+}
+
+func (t *liveTest) await(what string, holds func(*Cluster) bool) {
+	t.Helper()
+	if err := t.Await(t.ctx, what, holds); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// leader waits for a controller that leads.
+func (t *liveTest) leader() (leader *Controller, index int) {
+	t.Helper()
+	t.await("a leader", func(c *Cluster) bool {
+		index = c.Leader()
+		return index >= 0
+	})
+	return t.Controllers()[index], index
+}
+
+// submitLive submits a job and lets its user follow it.
+func (c *Cluster) submitLive(id string, kind protocol.Kind, tasks int, run time.Duration) {
+	spec := protocol.Job{ID: id, Class: "live", Team: "red", Kind: kind, Priority: protocol.Standard, Tasks: tasks,
+		CPUs: 1, MemGB: 1, Image: "img-live", ImageGB: 0.2, Estimate: run}
+	c.insist(func(node int, done func(int, string)) { c.Submit(node, spec, run, false, done) })
+	c.Follow(id, 500*time.Millisecond)
+}
+
+// submitBatch submits some of the batch jobs. Their tasks take 1 to 3.5 s.
+func (c *Cluster) submitBatch(from, to int) {
+	for i := from; i < to; i++ {
+		c.submitLive(liveJob(i), protocol.Batch, liveTasks, time.Duration(i+2)*500*time.Millisecond)
+	}
+}
+
+// completedTasks counts those of all jobs.
+func completedTasks(c *Cluster) int {
+	count := 0
+	for _, j := range c.jobs {
+		count += len(j.completed)
+	}
+	return count
+}
+
+// troubleMidway waits until some tasks have completed, brings trouble to the leader, and
+// submits the other jobs. It returns once another controller leads.
+func (t *liveTest) troubleMidway(trouble func(leader *Controller, index int)) (leader *Controller, index int) {
+	t.Helper()
+	t.await("some tasks to complete", func(c *Cluster) bool { return completedTasks(c) >= liveTasks })
+	leader, index = t.leader()
+	trouble(leader, index)
+	t.Do(func(c *Cluster) { c.submitBatch(earlyJobs, liveJobs) })
+	t.await("another leader", func(c *Cluster) bool { return c.Leader() >= 0 && c.Leader() != index })
+	return leader, index
+}
+
+// awaitAllDone waits until users were told of every batch job that it is done, and the
+// service serves; then it cancels the service.
+func (t *liveTest) awaitAllDone() {
+	t.Helper()
+	t.await("every batch job to be done", func(c *Cluster) bool {
+		for i := range liveJobs {
+			if c.told(liveJob(i)) != protocol.Done {
+				return false
+			}
+		}
+		return true
+	})
+	t.await("the service to serve", func(c *Cluster) bool { return len(c.jobs[liveService].on) == replicas })
+	t.Do(func(c *Cluster) { c.insistCancel(liveService) })
+	t.await("the service to be gone", func(c *Cluster) bool {
+		return c.told(liveService) == protocol.Cancelled && len(c.jobs[liveService].on) == 0
+	})
+}
+
+// awaitAnswer waits until a node answers for every batch job.
+func (t *liveTest) awaitAnswer(node int) {
+	t.Helper()
+	answered := 0
+	t.Do(func(c *Cluster) {
+		for i := range liveJobs {
+			c.askUntilKnown(node, liveJob(i), func() { answered++ })
+		}
+	})
+	t.await("the node to answer for all jobs", func(*Cluster) bool { return answered == liveJobs })
+}
+
+// askUntilKnown polls a node for a job until it answers.
+func (c *Cluster) askUntilKnown(node int, id string, done func()) {
+	c.Poll(node, id, func(status int, _ string) {
+		if status == 200 {
+			done()
+			return
+		}
+		c.after(200*time.Millisecond, func() { c.askUntilKnown(node, id, done) })
+	})
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -156,6 +156,9 @@
 	if l := s.leases[op.Lease]; l != nil {
 		l.keys[op.Put] = true
 	}
+	if s.c.outsiders {
+		s.c.recorded(op)
+	}
 	s.history = append(s.history, change{s.revision, protocol.Event{Key: op.Put, Value: op.Value, Version: s.revision}})
 }
 
