Development command: controllers on one machine against the live stand-in

Change: standin up starts services and controllers, waits until a controller leads and all answer their health checks, prints addresses, settings, logs and curl lines for a job, and runs until interrupted; standin load submits a stream of jobs and sums up. Not part of the product.

Before up waited for the health checks its test failed once in 25: the address printed first was that of a controller that didn't listen yet.

--- /dev/null
+++ b/cmd/standin/up.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"brasskeel/internal/protocol"
+	"brasskeel/internal/standin"
+)
+
+func upCommand() *cobra.Command {
+	var flags clusterFlags
+	c := &cobra.Command{Use: "up", Short: "Run controllers until interrupted", Args: cobra.NoArgs}
+	flags.add(c)
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		return flags.run(cmd.Context(), func(live *standin.Live) error {
+			describe(cmd.OutOrStdout(), live)
+			<-cmd.Context().Done()
+			return nil
+		})
+	}
+	return c
+}
+
+// sampleRun is how long the task of the job in the example runs.
+const sampleRun = 20 * time.Second
+
+// describe tells where everything is, and how to submit, ask for and cancel a job.
+func describe(out io.Writer, live *standin.Live) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "CONTROLLER\tUSERS AND WORKERS\tSTATE SERVICE\tCLOUD\tSETTINGS\tLOG")
+	for _, k := range live.Controllers() {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", k.Name(), k.PublicAddr(), k.StateAddr(), k.CloudAddr(), k.SettingsFile, k.LogFile)
+	}
+	table.Flush()
+	job := standin.SampleJob("run-000001", sampleRun)
+	jobs := "http://" + live.Controllers()[0].PublicAddr() + protocol.PathJobs
+	fmt.Fprintf(out, "\nAny controller takes jobs, for example:\n\n")
+	fmt.Fprintf(out, "  curl -d '%s' %s\n", protocol.EncodeJob(&job), jobs)
+	fmt.Fprintf(out, "  curl %s/%s\n", jobs, job.ID)
+	fmt.Fprintf(out, "  curl -X POST %s/%s/cancel\n\n", jobs, job.ID)
+	fmt.Fprintln(out, "Interrupt to end.")
+}
--- a/internal/standin/live.go
+++ b/internal/standin/live.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"brasskeel/internal/protocol"
 )
 
 // LiveOptions shape a live stand-in.
@@ -195,6 +197,31 @@
 	}
 }
 
+// AwaitReady returns once a controller leads and all answer their health checks.
+func (l *Live) AwaitReady(ctx context.Context) error {
+	healthy := 0
+	l.Do(func(c *Cluster) {
+		for node := range c.nodes {
+			c.awaitHealth(node, func() { healthy++ })
+		}
+	})
+	return l.Await(ctx, "controllers that are ready", func(c *Cluster) bool { return c.Leader() >= 0 && healthy == len(c.nodes) })
+}
+
+// healthEvery is how often a controller is asked that is not known to be healthy.
+const healthEvery = 200 * time.Millisecond
+
+// awaitHealth asks a node until its health check succeeds.
+func (c *Cluster) awaitHealth(node int, done func()) {
+	c.user(node, "GET", protocol.PathHealth, nil, func(status int, _ []byte) {
+		if status == http.StatusOK {
+			done()
+			return
+		}
+		c.after(healthEvery, func() { c.awaitHealth(node, done) })
+	})
+}
+
 // Broken lists the rules broken so far, and what else went wrong.
 func (l *Live) Broken() []string {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/standin/load.go
@@ -0,0 +1,89 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// Load is a stream of jobs of one task each.
+type Load struct {
+	Jobs int
+	Rate float64       // jobs per second
+	Run  time.Duration // of a task
+}
+
+// LoadSummary tells what came of a load. Times count from the first attempt to submit a
+// job, until it was accepted and until its task started.
+type LoadSummary struct {
+	Jobs, Accepted, Done int
+	Submit, Start        Quantiles
+}
+
+// Quantiles are the times within which half and 99% of what was measured lie.
+type Quantiles struct{ P50, P99 time.Duration }
+
+func quantiles(times []time.Duration) (q Quantiles) {
+	if len(times) == 0 {
+		return q
+	}
+	slices.Sort(times)
+	return Quantiles{P50: times[(len(times)-1)*50/100], P99: times[(len(times)-1)*99/100]}
+}
+
+// firstLoadJob is the number of a load's first job: far from those that people choose.
+const firstLoadJob = 700_001
+
+// followEvery is how often the users of a load ask for their jobs.
+const followEvery = time.Second
+
+// Load submits jobs at any controllers and waits until all are done, or ctx ends.
+func (l *Live) Load(ctx context.Context, load Load) (LoadSummary, error) {
+	accepted := map[string]time.Duration{}
+	l.Do(func(c *Cluster) {
+		for i := range load.Jobs {
+			c.after(time.Duration(float64(i)/load.Rate*float64(time.Second)), func() { c.submitLoad(i, load.Run, accepted) })
+		}
+	})
+	done := func(c *Cluster) int {
+		return len(c.ids(func(j *userJob) bool { return accepted[j.spec.ID] != 0 && j.told == protocol.Done }))
+	}
+	err := l.Await(ctx, "all jobs to be done", func(c *Cluster) bool { return done(c) == load.Jobs })
+	summary := LoadSummary{Jobs: load.Jobs, Accepted: len(accepted)}
+	l.Do(func(c *Cluster) {
+		summary.Done = done(c)
+		var submit, start []time.Duration
+		for id, after := range accepted {
+			submit = append(submit, after)
+			if j := c.jobs[id]; !j.began.IsZero() {
+				start = append(start, j.began.Sub(j.submitted))
+			}
+		}
+		summary.Submit, summary.Start = quantiles(submit), quantiles(start)
+	})
+	return summary, err
+}
+
+// submitLoad submits one job of a load and follows it once it is accepted.
+func (c *Cluster) submitLoad(number int, run time.Duration, accepted map[string]time.Duration) {
+	spec := SampleJob(fmt.Sprintf("run-%06d", firstLoadJob+number), run)
+	begin := c.now
+	c.insist(func(node int, done func(int, string)) {
+		c.Submit(node, spec, run, false, func(status int, state string) {
+			if (status == 200 || status == 201) && accepted[spec.ID] == 0 {
+				accepted[spec.ID] = c.now.Sub(begin)
+				c.Follow(spec.ID, followEvery)
+			}
+			done(status, state)
+		})
+	})
+}
+
+// SampleJob is a small batch job of one task, of a team that every stand-in has.
+func SampleJob(id string, run time.Duration) protocol.Job {
+	return protocol.Job{ID: id, Class: "sample", Team: "red", Kind: protocol.Batch, Priority: protocol.Standard, Tasks: 1,
+		CPUs: 1, MemGB: 1, Image: "img-sample", ImageGB: 0.2, Estimate: run}
+}
