--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -7,18 +7,19 @@
 	"brasskeel/internal/protocol"
 )
 
-// Bounds of what admission keeps and lets wait.
+// Bounds of what admission keeps in memory: a small part of what the smallest controllers
+// have. What is forgotten is read again from the state service.
 const (
-	maxFinals  = 50_000
-	maxKnown   = 50_000
-	maxWaiting = 400 // requests that wait for the state service
-	maxNews    = 5_000
+	maxFinals = 50_000
+	maxKnown  = 50_000
 )
 
 // admission serves users. It works the same on every node: jobs and their
 // final states are written to the state service before the user is told, and
 // the leader learns of them from there.
 type admission struct {
+	bounds  *bounds
+	maxNews int
 	finals  map[string]final    // told or read; can't change any more
 	known   map[string]struct{} // accepted jobs
 	polls   []poll              // wait for the next check
@@ -49,13 +50,15 @@
 	job string
 }
 
-func (a *admission) init() {
+func (a *admission) init(n *Node) {
+	a.bounds, a.maxNews = &n.bounds, n.maxNews()
 	a.finals = map[string]final{}
 	a.known = map[string]struct{}{}
 }
 
 func (a *admission) setFinal(job string, s protocol.JobState, done int) {
 	if len(a.finals) >= maxFinals {
+		a.bounds.hit(boundFinals)
 		for k := range a.finals {
 			delete(a.finals, k)
 			if len(a.finals) < maxFinals*9/10 {
@@ -70,14 +73,24 @@
 // noteFinal is setFinal for what this node wrote or learned as a leader: its peers
 // hear of it, so that they need not read it for each user who asks them.
 func (a *admission) noteFinal(job string, s protocol.JobState, done int) {
-	if _, ok := a.finals[job]; !ok && len(a.news) < maxNews {
-		a.news = append(a.news, toldFinal{job: job, final: final{s, done}})
+	if _, ok := a.finals[job]; !ok {
+		a.tellPeers(toldFinal{job: job, final: final{s, done}})
 	}
 	a.setFinal(job, s, done)
 }
 
+// tellPeers lets the peers hear of a final state with the next lines.
+func (a *admission) tellPeers(f toldFinal) {
+	if len(a.news) >= a.maxNews {
+		a.bounds.hit(boundNews)
+		return
+	}
+	a.news = append(a.news, f)
+}
+
 func (a *admission) setKnown(job string) {
 	if len(a.known) >= maxKnown {
+		a.bounds.hit(boundKnown)
 		clear(a.known)
 	}
 	a.known[job] = struct{}{}
@@ -107,7 +120,8 @@
 		n.report(id, body)
 		return
 	}
-	if n.admission.waiting >= maxWaiting {
+	if n.admission.waiting >= n.maxWaiting() {
+		n.bounds.hit(boundWaiting)
 		n.refuse(id, 429, "too many requests at once")
 		return
 	}
--- a/internal/coordination/grow.go
+++ b/internal/coordination/grow.go
@@ -1,247 +1,216 @@
 package coordination
 
 import (
-	"fmt"
+	"maps"
 	"slices"
-	"sort"
+	"strings"
 	"time"
 
 	"brasskeel/internal/protocol"
 )
 
-// offer is one kind of machine that can be rented.
-type offer struct {
-	spec *protocol.MachineType
-	zone string
-	spot bool
+// growth is one look at what has to be rented beyond what boots.
+type growth struct {
+	l      *lead
+	offers []offer
+	bins   []*bin // all the room that is coming
+	open   []*bin // of it, what may take more of what waits, in the same order
+	full   int    // of them, those that by now may not
+	// from is where the search for room begins in open, by shape of a task: what is before
+	// it takes no more of that shape.
+	from   map[shapeKey]int
+	least  usage // of a task that waits
+	mem    float64
+	need   map[string]int // machines to be asked for, by offer
+	order  []offer        // those offers
+	rented int            // machines to be asked for
+	rooms  map[string]*usage
 }
 
-func (o offer) price() float64 {
-	if o.spot {
-		return o.spec.SpotPrice
-	}
-	return o.spec.Price
+// shapeKey is a shape that can be looked up.
+type shapeKey struct {
+	cpus, gpus, mem float64
+	zone, types     string
+	spot            bool
 }
 
-func (o offer) key() string { return fmt.Sprintf("%s/%s/%t", o.spec.Name, o.zone, o.spot) }
-
-func (o offer) allows(j *protocol.Job) bool {
-	return j.AllowsType(o.spec.Name) && o.spec.Fits(j) && (j.Zone == "" || j.Zone == o.zone) && (j.Spot || !o.spot)
+func keyOf(j *job) shapeKey {
+	return shapeKey{j.CPUs, j.GPUs, j.MemGB, j.Zone, strings.Join(j.Types, " "), j.Spot}
 }
 
-// offers lists what can be rented now, cheapest per CPU first.
-func (l *lead) offers() []offer {
-	var list []offer
-	for _, t := range l.n.types {
-		for _, z := range t.Zones {
-			list = append(list, offer{t, z, false})
-			if l.n.op.Spot && t.SpotPrice > 0 {
-				list = append(list, offer{t, z, true})
-			}
-		}
+// mayGrow reports whether anything may be rented now.
+func (l *lead) mayGrow() bool {
+	n, f := l.n, &l.fleet
+	if l.phase != active || n.storeDown() || len(n.types) == 0 || !n.now.Before(l.right.validUntil) || f.partly {
+		return false
 	}
-	open := list[:0]
-	for _, o := range list {
-		if !l.n.now.Before(l.fleet.blocked[o.key()]) {
-			open = append(open, o)
-		}
+	if n.strained() {
+		n.bounds.hit(boundServed)
+		return false
 	}
-	sort.Slice(open, func(i, k int) bool {
-		a, b := open[i].price()/open[i].spec.CPUs, open[k].price()/open[k].spec.CPUs
-		if a != b {
-			return a < b
+	for _, k := range f.renting {
+		if k > 0 {
+			return false // its answer decides what else is needed
 		}
-		return open[i].key() < open[k].key()
-	})
-	return open
-}
-
-// bin is room that is coming: a machine that boots or is to be rented.
-type bin struct {
-	offer           offer
-	cpus, gpus, mem float64
-}
-
-func (b *bin) take(j *job) bool {
-	if !b.offer.allows(j.Job) || j.CPUs > b.cpus+protocol.Epsilon || j.GPUs > b.gpus+protocol.Epsilon || j.MemGB > b.mem+protocol.Epsilon {
-		return false
 	}
-	b.cpus -= j.CPUs
-	b.gpus -= j.GPUs
-	b.mem -= j.MemGB
 	return true
 }
 
-func newBin(o offer) *bin {
-	return &bin{offer: o, cpus: o.spec.CPUs, gpus: o.spec.GPUs, mem: o.spec.MemGB}
-}
-
 // grow rents what the waiting work and the headroom need beyond what boots.
 func (l *lead) grow() {
-	n, f := l.n, &l.fleet
-	if l.phase != active || n.storeDown() || len(n.types) == 0 || !n.now.Before(l.right.validUntil) || f.partly {
+	if !l.mayGrow() {
 		return
 	}
-	for _, k := range f.renting {
-		if k > 0 {
-			return // its answer decides what else is needed
+	g := l.newGrowth()
+	for _, d := range l.fleet.unmet {
+		if g.rented >= rentAtOnce {
+			break
 		}
+		g.serve(d)
 	}
-	bins := l.coming()
-	offers := l.offers()
-	need := map[string]int{}
-	var order []offer
-	rent := func(o offer) *bin {
-		if need[o.key()] == 0 {
-			order = append(order, o)
+	g.serveHeld()
+	g.headroom()
+	g.ask()
+}
+
+func (l *lead) newGrowth() *growth {
+	g := &growth{l: l, offers: l.offers(), bins: l.coming(), from: map[shapeKey]int{}, need: map[string]int{}, rooms: map[string]*usage{}}
+	g.open = slices.Clone(g.bins)
+	for i, d := range l.fleet.unmet {
+		if i == 0 {
+			g.least, g.mem = usage{d.job.CPUs, d.job.GPUs}, d.job.MemGB
 		}
-		need[o.key()]++
-		b := newBin(o)
-		bins = append(bins, b)
-		return b
+		g.least.cpus, g.mem = min(g.least.cpus, d.job.CPUs), min(g.mem, d.job.MemGB)
 	}
-	total := 0
 	// What a team may still start under its limit, over all its jobs: machines
 	// beyond that would stand idle.
-	rooms := map[string]*usage{}
-	for name, t := range n.teams {
+	for name, t := range l.n.teams {
 		u := l.teams[name]
-		rooms[name] = &usage{t.CPUsMax - u.cpus, t.GPUsMax - u.gpus}
+		g.rooms[name] = &usage{t.CPUsMax - u.cpus, t.GPUsMax - u.gpus}
 	}
-	for _, d := range f.unmet {
-		j := d.job
-		left := min(d.left, j.toStart())
-		room := rooms[j.Team]
-		zones := map[string]int{}
-		for z, k := range j.zones {
-			zones[z] = k
-		}
-		allows := func(zone string) bool {
-			if j.OneZone {
-				for z := range zones {
-					if z != zone {
-						return false
-					}
-				}
-			}
-			return !j.Spread || zones[zone]+1 <= (j.Tasks+1)/2
+	return g
+}
+
+// serve finds room for a job's tasks in what is coming, and rents what they need beyond it.
+func (g *growth) serve(d demand) {
+	l, j := g.l, d.job
+	wanted := min(d.left, j.toStart())
+	left := min(wanted, g.underLimit(j))
+	zones := zonesOf(j)
+	room := g.rooms[j.Team]
+	put := func(count int) {
+		left -= count
+		room.cpus -= float64(count) * j.CPUs
+		room.gpus -= float64(count) * j.GPUs
+	}
+	put(g.fill(j, zones, left))
+	for left > 0 && g.rented < rentAtOnce {
+		o, ok := bestOffer(g.offers, j.Job, left, zones.allows)
+		// One that has waited for too long gets a machine to begin on.
+		if !ok || l.tooDear(j, o) && !(left == wanted && j.overdue(l.n.now.Round(0))) {
+			return
 		}
-		from, needed := 0, left
-		for ; left > 0 && total < rentAtOnce; left-- {
-			if room.cpus < j.CPUs-protocol.Epsilon || room.gpus < j.GPUs-protocol.Epsilon {
-				break
-			}
-			room.cpus -= j.CPUs
-			room.gpus -= j.GPUs
-			placed := false
-			for i := from; i < len(bins); i++ {
-				if b := bins[i]; allows(b.offer.zone) && b.take(j) {
-					zones[b.offer.zone]++
-					placed = true
-					break
-				}
-				if i == from && !j.OneZone && !j.Spread {
-					from++ // for none of the job's tasks: it may have thousands
-				}
-			}
-			if placed {
-				continue
-			}
-			o, ok := bestOffer(offers, j.Job, left, allows)
-			// One that has waited for too long gets a machine to begin on.
-			if !ok || l.tooDear(j, o) && !(needed == left && j.overdue(n.now.Round(0))) {
-				break
-			}
-			b := rent(o)
-			total++
-			b.take(j)
-			zones[o.zone]++
+		count := g.put(g.rent(o), j, zones, left)
+		if count == 0 {
+			return // a machine of the best offer should take one at least
 		}
+		put(count)
 	}
-	// Room for replicas whose machines are silent. They count under their teams' limits
-	// already.
-	for _, j := range l.order {
-		for left := f.held[j]; left > 0 && total < rentAtOnce; left-- {
-			if slices.ContainsFunc(bins, func(b *bin) bool { return b.take(j) }) {
-				continue
-			}
-			o, ok := bestOffer(offers, j.Job, left, func(string) bool { return true })
-			if !ok {
-				break
-			}
-			rent(o).take(j)
-			total++
-		}
+}
+
+// underLimit is how many tasks of a job its team's limit still lets start.
+func (g *growth) underLimit(j *job) int {
+	room, most := g.rooms[j.Team], float64(j.Tasks)
+	if j.CPUs > 0 {
+		most = min(most, (room.cpus+protocol.Epsilon)/j.CPUs)
 	}
-	l.growHeadroom(bins, offers, rent)
-	// What many calls take is asked for at once, but some are left for returns: those
-	// are the quick proof that silent machines are gone.
-	for _, o := range order {
-		for left := need[o.key()]; left > 0; left -= protocol.MaxRent {
-			if f.budget.Available(n.now) < 1+returnCalls || !f.budget.Take(n.now, 1) {
-				return
-			}
-			l.rent(o, min(left, protocol.MaxRent))
+	if j.GPUs > 0 {
+		most = min(most, (room.gpus+protocol.Epsilon)/j.GPUs)
+	}
+	return max(0, int(most))
+}
+
+// fill puts tasks of a job into room that is coming, and returns how many found some.
+func (g *growth) fill(j *job, zones *zoneCount, most int) int {
+	key := keyOf(j)
+	i, found := g.from[key], 0
+	for ; i < len(g.open) && found < most; i++ {
+		found += g.put(g.open[i], j, zones, most-found)
+	}
+	if !j.OneZone && !j.Spread {
+		if found == most && i > 0 {
+			i-- // the last one may take more
 		}
+		g.from[key] = max(g.from[key], i)
 	}
+	g.compact()
+	return found
 }
 
-// guestsPay is how many times the lowest price per CPU, of all that a job may use, is
-// paid for work of a team without a guarantee.
-const guestsPay = 1.5
+// put puts up to a number of a job's tasks into a bin, and returns how many it took.
+func (g *growth) put(b *bin, j *job, zones *zoneCount, most int) int {
+	count := 0
+	for count < most && zones.allows(b.offer.zone) && b.take(j) {
+		zones.count[b.offer.zone]++
+		count++
+	}
+	if count > 0 && (b.cpus < g.least.cpus-protocol.Epsilon || b.mem < g.mem-protocol.Epsilon) {
+		g.full++
+	}
+	return count
+}
 
-// tooDear reports whether a machine isn't rented for a job at the price: teams without
-// a guarantee take what is idle, and what is cheap.
-func (l *lead) tooDear(j *job, o offer) bool {
-	t := l.n.teams[j.Team]
-	if t == nil || t.CPUs > 0 || t.GPUs > 0 || j.Priority == protocol.Critical {
-		return false
+// compact takes bins that are full out of those that are looked at, once they are most of
+// them: thousands of jobs would otherwise look at thousands of full ones each.
+func (g *growth) compact() {
+	if g.full*2 <= len(g.open) {
+		return
 	}
-	lowest := 0.0
-	for _, t := range l.n.types {
-		for _, spot := range []bool{false, l.n.op.Spot && t.SpotPrice > 0 && j.Spot} {
-			k := offer{spec: t, spot: spot}
-			if p := k.price() / t.CPUs; j.AllowsType(t.Name) && t.Fits(j.Job) && (lowest == 0 || p < lowest) {
-				lowest = p
-			}
-		}
+	g.open = slices.DeleteFunc(g.open, func(b *bin) bool {
+		return b.cpus < g.least.cpus-protocol.Epsilon || b.mem < g.mem-protocol.Epsilon
+	})
+	g.full = 0
+	clear(g.from)
+}
+
+// rent wants one more machine.
+func (g *growth) rent(o offer) *bin {
+	if g.need[o.key()] == 0 {
+		g.order = append(g.order, o)
 	}
-	return o.price()/o.spec.CPUs > guestsPay*lowest
+	g.need[o.key()]++
+	g.rented++
+	b := newBin(o)
+	g.bins = append(g.bins, b)
+	g.open = append(g.open, b)
+	return b
 }
 
-// bestOffer is the cheapest way to run tasks of a job, by the price of the
-// share of a machine that they use; a machine much too large for what is left
-// counts in full.
-func bestOffer(offers []offer, j *protocol.Job, left int, allows func(zone string) bool) (offer, bool) {
-	var best offer
-	found, bestCost := false, 0.0
-	for _, o := range offers {
-		if !o.allows(j) || !allows(o.zone) {
-			continue
-		}
-		fit := 1e9
-		if j.CPUs > 0 {
-			fit = min(fit, float64(int(o.spec.CPUs/j.CPUs+protocol.Epsilon)))
-		}
-		if j.GPUs > 0 {
-			fit = min(fit, float64(int(o.spec.GPUs/j.GPUs+protocol.Epsilon)))
-		}
-		if j.MemGB > 0 {
-			fit = min(fit, float64(int(o.spec.MemGB/j.MemGB+protocol.Epsilon)))
-		}
-		if fit < 1 {
-			continue
-		}
-		cost := o.price() / min(fit, float64(max(left, 2)))
-		if !found || cost < bestCost {
-			best, bestCost, found = o, cost, true
+// serveHeld finds room for replicas whose machines are silent. They count under their teams'
+// limits already.
+func (g *growth) serveHeld() {
+	held := g.l.fleet.held
+	if len(held) == 0 {
+		return
+	}
+	for _, j := range g.l.order {
+		free := &zoneCount{count: map[string]int{}}
+		for left := held[j]; left > 0 && g.rented < rentAtOnce; left-- {
+			if g.fill(j, free, 1) > 0 {
+				continue
+			}
+			o, ok := bestOffer(g.offers, j.Job, left, free.allows)
+			if !ok {
+				break
+			}
+			g.rent(o).take(j)
 		}
 	}
-	return best, found
 }
 
-// growHeadroom rents ahead of the next jobs.
-func (l *lead) growHeadroom(bins []*bin, offers []offer, rent func(offer) *bin) {
+// headroom rents ahead of the next jobs.
+func (g *growth) headroom() {
+	l := g.l
 	used, free := 0.0, 0.0
 	for _, m := range l.fleetList {
 		if m.spec == nil || !m.up {
@@ -252,22 +221,64 @@
 			free += m.spec.CPUs - m.cpus
 		}
 	}
-	for _, b := range bins {
+	for _, b := range g.bins {
 		free += b.cpus
 		used += b.offer.spec.CPUs - b.cpus // by what waits for it
 	}
 	want := l.headroom(used)
-	if len(offers) == 0 {
+	if len(g.offers) == 0 {
 		return
 	}
-	for cheapest := offers[0]; free < want-protocol.Epsilon; {
-		if len(bins) > max(rentAtOnce, len(l.fleetList)) {
+	for cheapest := g.offers[0]; free < want-protocol.Epsilon; {
+		if len(g.bins) > max(rentAtOnce, len(l.fleetList)) {
 			return
 		}
-		free += rent(cheapest).cpus
+		free += g.rent(cheapest).cpus
 	}
 }
 
+// ask asks the cloud for what is needed. What many calls take is asked for at once, but some
+// are left for returns: those are the quick proof that silent machines are gone.
+func (g *growth) ask() {
+	l := g.l
+	f := &l.fleet
+	for _, o := range g.order {
+		for left := g.need[o.key()]; left > 0; left -= protocol.MaxRent {
+			if f.budget.Available(l.n.now) < 1+returnCalls || !f.budget.Take(l.n.now, 1) {
+				return
+			}
+			l.rent(o, min(left, protocol.MaxRent))
+		}
+	}
+}
+
+// zoneCount applies a job's rules about zones to tasks that are planned.
+type zoneCount struct {
+	job   *job // nil without rules
+	count map[string]int
+}
+
+func zonesOf(j *job) *zoneCount {
+	if !j.OneZone && !j.Spread {
+		return &zoneCount{count: map[string]int{}}
+	}
+	return &zoneCount{job: j, count: maps.Clone(j.zones)}
+}
+
+func (z *zoneCount) allows(zone string) bool {
+	if z.job == nil {
+		return true
+	}
+	if z.job.OneZone {
+		for k := range z.count {
+			if k != zone {
+				return false
+			}
+		}
+	}
+	return !z.job.Spread || z.count[zone]+1 <= (z.job.Tasks+1)/2
+}
+
 // headroom is the free room wanted beyond what is used.
 func (l *lead) headroom(used float64) float64 {
 	if l.quickStarts() {
@@ -293,46 +304,3 @@
 	}
 	return false
 }
-
-func (l *lead) rent(o offer, count int) {
-	n, f := l.n, &l.fleet
-	f.requests++
-	// Never used again, by this node or another: terms are unique, and so is
-	// the counter within one.
-	name := fmt.Sprintf("t%d-%d", l.term, f.requests)
-	key := o.key()
-	f.renting[key] += count
-	n.call(Cloud, "", "POST", protocol.PathHosts, protocol.RentBody(name, o.spec.Name, o.zone, o.spot, count), cloudTimeout, func(out Outcome) {
-		if !l.alive() {
-			return
-		}
-		f.renting[key] -= count
-		switch {
-		case out.Answered && out.Status == 200:
-			names, err := protocol.ParseNames(out.Body)
-			if err != nil {
-				return // what was rented will show in the list
-			}
-			for _, m := range names {
-				if l.machines[m] == nil && l.gone[m].IsZero() {
-					l.journal.putMachine(l.newMachine(m, o.spec.Name, o.zone, o.spot))
-				}
-			}
-			n.log.Info("machines rented", "type", o.spec.Name, "zone", o.zone, "spot", o.spot, "asked", count, "got", len(names))
-			if len(names) < count {
-				f.blocked[key] = n.now.Add(capacityPause)
-			}
-			l.fleetSoon()
-		case out.Answered && out.Status == 503 && protocol.NoCapacity(out.Body):
-			if n.now.Sub(f.blocked[key]) > capacityPause { // else it was so the last time, too
-				n.log.Info("no capacity", "type", o.spec.Name, "zone", o.zone, "spot", o.spot)
-			}
-			f.blocked[key] = n.now.Add(capacityPause)
-			l.fleetSoon()
-		case out.Answered && out.Status == 429:
-		default:
-			// Maybe carried out; then the machines show in the list.
-			f.blocked[key] = n.now.Add(3 * time.Second)
-		}
-	})
-}
--- a/internal/coordination/journal.go
+++ b/internal/coordination/journal.go
@@ -15,17 +15,17 @@
 
 // full reports whether so much waits to be recorded that nothing more is placed:
 // what would be placed now should be chosen among what there is once its record's
-// turn comes. A record holds what was placed of up to 96 tasks of a job, so the
+// turn comes. A record holds what was placed of a chunk of a job's tasks, so the
 // bound is the records of about half a second, a few transactions at the least.
 func (g *journal) full() bool {
 	c := g.l.n.cfg
-	return len(g.urgent) >= max(4*c.TxnOps, int(c.StateWriteRPS/2)) || g.unsaved >= maxUnrecorded
+	if g.unsaved >= g.maxUnsaved() {
+		g.l.n.bounds.hit(boundUnsaved)
+		return true
+	}
+	return len(g.urgent) >= max(4*c.TxnOps, int(c.StateWriteRPS/2))
 }
 
-// maxUnrecorded bounds the placements that wait to be recorded, so that one round
-// keeps nothing else waiting for long.
-const maxUnrecorded = 2000
-
 // journal writes the leader's records, one transaction at a time so that they
 // apply in order. Every transaction is conditional on the leader key's
 // version, so one that is applied late, after another leader was elected,
@@ -47,6 +47,8 @@
 	pause   time.Time
 	wake    *timer
 	unsaved int
+
+	chunkTasks int // tasks in a full chunk record
 }
 
 // afterRemoval drops a job once the removal of its last key is applied.
@@ -57,6 +59,7 @@
 
 func (g *journal) init(l *lead) {
 	g.l = l
+	g.chunkTasks = bookkeeping.ChunkSize(l.n.cfg.ValueBytes)
 	w := l.n.cfg.StateWriteRPS
 	g.budget = bookkeeping.NewBudget(w*0.75, w*0.6, l.n.now)
 }
@@ -453,7 +456,9 @@
 // saveTypes keeps the machine types for nodes that can't reach the cloud.
 func (g *journal) saveTypes(types []protocol.MachineType) {
 	raw := bookkeeping.Encode(types)
-	if len(raw) <= g.l.n.cfg.ValueBytes {
-		g.extra = append(g.extra, protocol.Op{Put: bookkeeping.KeyTypes, Value: json.RawMessage(raw)})
+	if len(raw) > g.l.n.cfg.ValueBytes {
+		g.l.n.bounds.hit(boundTypes)
+		return
 	}
+	g.extra = append(g.extra, protocol.Op{Put: bookkeeping.KeyTypes, Value: json.RawMessage(raw)})
 }
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -37,14 +37,16 @@
 	phase    phase
 	settled  time.Time
 
-	order   []*job // by submission
-	teams   map[string]*usage
-	bias    map[string]float64   // of estimates, by class
-	stopped map[string]usage     // of the teams' work, what was told to stop
-	gone    map[string]time.Time // machines proven gone, while lists may still show them
-	journal journal
-	fleet   fleet
-	shards  *shardLeader // nil when this leader serves all machines itself
+	order []*job // by submission
+	// tellNext is the place in order of the job whose progress peers are told next.
+	tellNext int
+	teams    map[string]*usage
+	bias     map[string]float64   // of estimates, by class
+	stopped  map[string]usage     // of the teams' work, what was told to stop
+	gone     map[string]time.Time // machines proven gone, while lists may still show them
+	journal  journal
+	fleet    fleet
+	shards   *shardLeader // nil when this leader serves all machines itself
 
 	told       told   // to operators, of work that waits
 	preferred  string // zone last recorded as the better one for leaders
@@ -91,6 +93,8 @@
 	notBefore time.Time
 	pressing  bool // its patience has a timer
 	image     int32
+
+	progressTold bool // peers were told of tasks that run or are done
 }
 
 // chunk is a run of a job's tasks that share a record.
--- a/internal/coordination/listing.go
+++ b/internal/coordination/listing.go
@@ -6,42 +6,114 @@
 	"brasskeel/internal/protocol"
 )
 
+// Bounds of reading the cloud's list, which takes a call for each 500 machines.
+const (
+	// listShare is the part of the cloud's calls that lists take at the most, as a divisor:
+	// those of a large fleet, read as often as those of a small one, would leave no calls for
+	// renting and returning.
+	listShare = 4
+	// listTries is how often a page is asked for, with listRetry between, before the list
+	// is given up: one refused call would otherwise cost all pages before it.
+	listTries = 4
+	listRetry = 500 * time.Millisecond
+	// maxListed ends a list that is longer than any that this process could hold: what
+	// was read of it is not compared, since a machine that it lacks may be on another page.
+	maxListed = 250_000
+)
+
+// listInterval is how often the cloud's list is read.
+func (l *lead) listInterval() time.Duration {
+	pages := 1 + len(l.fleetList)/protocol.MaxListed
+	calls := time.Duration(float64(pages*listShare) / l.n.cfg.CloudRPS * float64(time.Second))
+	return max(l.n.cfg.ListLag/2, 3*time.Second, calls)
+}
+
+// listing is one reading of the cloud's list, page by page.
+type listing struct {
+	l     *lead
+	all   []protocol.ListedMachine
+	after string // the last machine read
+	tries int    // of the next page
+}
+
 // listMachines reads the cloud's list and compares it with what is known.
 func (l *lead) listMachines() {
 	n, f := l.n, &l.fleet
-	interval := max(n.cfg.ListLag/2, 3*time.Second)
-	if f.listing || n.now.Sub(f.listedAt) < interval || !f.budget.Take(n.now, 1) {
+	if f.listing || n.now.Sub(f.listedAt) < l.listInterval() || !f.budget.Take(n.now, 1) {
 		return
 	}
 	f.listing, f.listedAt = true, n.now
-	var all []protocol.ListedMachine
-	var page func(after string)
-	page = func(after string) {
-		n.call(Cloud, "", "GET", protocol.ListTarget(after), nil, cloudTimeout, func(out Outcome) {
-			if !l.alive() {
-				return
-			}
-			if out.Answered && out.Status == 200 {
-				list, more, err := protocol.ParseList(out.Body)
-				if err == nil && !(more && len(list) == 0) {
-					all = append(all, list...)
-					if more && len(all) < 20000 {
-						f.budget.Spend(n.now, 1)
-						page(list[len(list)-1].Name)
-						return
-					}
-					f.listing, f.listed = false, true
-					l.compareList(all)
-					l.checkHeard()
-					return
-				}
-			}
-			f.listing = false
-		})
+	(&listing{l: l}).read()
+}
+
+// read asks for the next page.
+func (r *listing) read() {
+	r.tries++
+	r.l.n.call(Cloud, "", "GET", protocol.ListTarget(r.after), nil, cloudTimeout, func(out Outcome) {
+		if r.l.alive() {
+			r.take(out)
+		}
+	})
+}
+
+// take takes a page, or that there was none.
+func (r *listing) take(out Outcome) {
+	l := r.l
+	if !out.Answered || out.Status != 200 {
+		r.again()
+		return
 	}
-	page("")
+	list, more, err := protocol.ParseList(out.Body)
+	if err != nil || more && (len(list) == 0 || list[len(list)-1].Name <= r.after) {
+		r.end() // a list that doesn't go on would be read without end
+		return
+	}
+	r.all = append(r.all, list...)
+	switch {
+	case !more:
+		l.fleet.listed = true
+		r.end()
+		l.compareList(r.all)
+		l.checkHeard()
+	case len(r.all) >= maxListed:
+		l.n.bounds.hit(boundList)
+		r.end()
+	default:
+		r.after, r.tries = list[len(list)-1].Name, 0
+		r.whenAffordable()
+	}
+}
+
+// again asks for the same page some time later, a few times.
+func (r *listing) again() {
+	if r.tries >= listTries {
+		r.end()
+		return
+	}
+	r.l.n.after(listRetry, func() {
+		if r.l.alive() {
+			r.whenAffordable()
+		}
+	})
 }
 
+// whenAffordable asks for the next page once the cloud takes one more call: returns and
+// rentals, which go out when there is something to rent or return, have their turns between.
+func (r *listing) whenAffordable() {
+	l := r.l
+	if l.fleet.budget.Take(l.n.now, 1) {
+		r.read()
+		return
+	}
+	l.n.after(l.fleet.budget.Wait(l.n.now, 1)+time.Millisecond, func() {
+		if l.alive() {
+			r.whenAffordable()
+		}
+	})
+}
+
+func (r *listing) end() { r.l.fleet.listing = false }
+
 func (l *lead) compareList(list []protocol.ListedMachine) {
 	n := l.n
 	seen := make(map[string]bool, len(list))
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -46,6 +46,7 @@
 	cpus, gpus, mem float64    // taken by them
 	services        float64    // CPUs taken by replicas
 	replicas        int
+	reportBytes     int                            // that they take in a report of the worker's at the most
 	fixed           float64                        // CPUs taken by work that may not use spot machines
 	kept            [protocol.Critical + 1]float64 // CPUs taken, by priority
 	stops           int                            // attempts that were told to end
@@ -103,7 +104,7 @@
 	m := l.newMachine(name, typ, zone, spot)
 	m.rented = l.n.now.Add(-age)
 	if l.phase != loading { // else its record may be read yet
-		l.n.log.Info("unexpected machine adopted", "machine", name, "type", typ, "zone", zone, "spot", spot)
+		l.n.logEach("unexpected machine adopted", "machine", name, "type", typ, "zone", zone, "spot", spot)
 		l.journal.putMachine(m)
 	}
 	return m
@@ -172,7 +173,7 @@
 		return
 	}
 	m.removed = true
-	l.n.log.Info("machine gone", "machine", m.name, "why", why, "attempts", len(m.attempts))
+	l.n.logEach("machine gone", "machine", m.name, "why", why, "attempts", len(m.attempts))
 	l.gone[m.name] = l.n.now
 	delete(l.machines, m.name)
 	if i := slices.Index(l.fleetList, m); i >= 0 {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -97,11 +97,13 @@
 	now    time.Time
 	lag    time.Duration // of the last timer, behind its time
 	lateAt time.Time     // when that was last too much
-	out    Effects
-	calls  map[uint64]func(Outcome)
-	lastID uint64
-	timers timerHeap
-	seq    uint64
+	// lateSince is since when it has been too much again and again.
+	lateSince time.Time
+	out       Effects
+	calls     map[uint64]func(Outcome)
+	lastID    uint64
+	timers    timerHeap
+	seq       uint64
 
 	teams map[string]*config.Team
 	types map[string]*protocol.MachineType
@@ -114,7 +116,9 @@
 	trouble      string // as it is now; empty without any
 	troubleSince time.Time
 
-	held      []heldReport // wait for a leader
+	bounds    bounds
+	bursts    logBursts
+	held      heldReports // wait for a leader
 	election  election
 	admission admission
 	peers     map[string]*peerView
@@ -160,7 +164,7 @@
 		n.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
 	n.storeCost = bookkeeping.NewBudget(cfg.StateRPS*0.8, cfg.StateRPS*0.6, now)
-	n.admission.init()
+	n.admission.init(n)
 	return n
 }
 
@@ -206,6 +210,9 @@
 		n.lag = max(0, now.Sub(next))
 		n.lagMost = max(n.lagMost, n.lag)
 		if n.late() {
+			if now.Sub(n.lateAt) > lateGap {
+				n.lateSince = now
+			}
 			n.lateAt = now
 		}
 	}
@@ -234,6 +241,19 @@
 // leadership by that.
 const lateCounts = 3 * time.Second
 
+// lateGap is the pause between two late timers after which a process has kept up in between.
+// One that hasn't for strainedAfter has more to serve than its share allows.
+const (
+	lateGap       = 2 * time.Second
+	strainedAfter = 5 * time.Second
+)
+
+// strained reports whether this process has been late for so long that more machines would
+// only make it answer all of them less often.
+func (n *Node) strained() bool {
+	return !n.lateAt.IsZero() && n.now.Sub(n.lateAt) <= lateGap && n.now.Sub(n.lateSince) > strainedAfter
+}
+
 func (n *Node) behind() bool { return n.lag > lagBehind }
 func (n *Node) late() bool   { return n.lag > lagLate }
 
--- /dev/null
+++ b/internal/coordination/offers.go
@@ -0,0 +1,132 @@
+package coordination
+
+import (
+	"fmt"
+	"sort"
+
+	"brasskeel/internal/protocol"
+)
+
+// offer is one kind of machine that can be rented.
+type offer struct {
+	spec *protocol.MachineType
+	zone string
+	spot bool
+}
+
+func (o offer) price() float64 {
+	if o.spot {
+		return o.spec.SpotPrice
+	}
+	return o.spec.Price
+}
+
+func (o offer) key() string { return fmt.Sprintf("%s/%s/%t", o.spec.Name, o.zone, o.spot) }
+
+func (o offer) allows(j *protocol.Job) bool {
+	return j.AllowsType(o.spec.Name) && o.spec.Fits(j) && (j.Zone == "" || j.Zone == o.zone) && (j.Spot || !o.spot)
+}
+
+// offers lists what can be rented now, cheapest per CPU first.
+func (l *lead) offers() []offer {
+	var list []offer
+	for _, t := range l.n.types {
+		for _, z := range t.Zones {
+			list = append(list, offer{t, z, false})
+			if l.n.op.Spot && t.SpotPrice > 0 {
+				list = append(list, offer{t, z, true})
+			}
+		}
+	}
+	open := list[:0]
+	for _, o := range list {
+		if !l.n.now.Before(l.fleet.blocked[o.key()]) {
+			open = append(open, o)
+		}
+	}
+	sort.Slice(open, func(i, k int) bool {
+		a, b := open[i].price()/open[i].spec.CPUs, open[k].price()/open[k].spec.CPUs
+		if a != b {
+			return a < b
+		}
+		return open[i].key() < open[k].key()
+	})
+	return open
+}
+
+// bin is room that is coming: a machine that boots or is to be rented.
+type bin struct {
+	offer           offer
+	cpus, gpus, mem float64
+	reportBytes     int // of a report that names the tasks in it
+}
+
+func (b *bin) take(j *job) bool {
+	if !b.offer.allows(j.Job) || j.CPUs > b.cpus+protocol.Epsilon || j.GPUs > b.gpus+protocol.Epsilon || j.MemGB > b.mem+protocol.Epsilon ||
+		b.reportBytes+protocol.TaskReportBytes(j.ID) > tasksBytes {
+		return false
+	}
+	b.reportBytes += protocol.TaskReportBytes(j.ID)
+	b.cpus -= j.CPUs
+	b.gpus -= j.GPUs
+	b.mem -= j.MemGB
+	return true
+}
+
+func newBin(o offer) *bin {
+	return &bin{offer: o, cpus: o.spec.CPUs, gpus: o.spec.GPUs, mem: o.spec.MemGB}
+}
+
+// guestsPay is how many times the lowest price per CPU, of all that a job may use, is
+// paid for work of a team without a guarantee.
+const guestsPay = 1.5
+
+// tooDear reports whether a machine isn't rented for a job at the price: teams without
+// a guarantee take what is idle, and what is cheap.
+func (l *lead) tooDear(j *job, o offer) bool {
+	t := l.n.teams[j.Team]
+	if t == nil || t.CPUs > 0 || t.GPUs > 0 || j.Priority == protocol.Critical {
+		return false
+	}
+	lowest := 0.0
+	for _, t := range l.n.types {
+		for _, spot := range []bool{false, l.n.op.Spot && t.SpotPrice > 0 && j.Spot} {
+			k := offer{spec: t, spot: spot}
+			if p := k.price() / t.CPUs; j.AllowsType(t.Name) && t.Fits(j.Job) && (lowest == 0 || p < lowest) {
+				lowest = p
+			}
+		}
+	}
+	return o.price()/o.spec.CPUs > guestsPay*lowest
+}
+
+// bestOffer is the cheapest way to run tasks of a job, by the price of the
+// share of a machine that they use; a machine much too large for what is left
+// counts in full.
+func bestOffer(offers []offer, j *protocol.Job, left int, allows func(zone string) bool) (offer, bool) {
+	var best offer
+	found, bestCost := false, 0.0
+	for _, o := range offers {
+		if !o.allows(j) || !allows(o.zone) {
+			continue
+		}
+		fit := float64(tasksBytes / protocol.TaskReportBytes(j.ID))
+		if j.CPUs > 0 {
+			fit = min(fit, float64(int(o.spec.CPUs/j.CPUs+protocol.Epsilon)))
+		}
+		if j.GPUs > 0 {
+			fit = min(fit, float64(int(o.spec.GPUs/j.GPUs+protocol.Epsilon)))
+		}
+		if j.MemGB > 0 {
+			fit = min(fit, float64(int(o.spec.MemGB/j.MemGB+protocol.Epsilon)))
+		}
+		if fit < 1 {
+			continue
+		}
+		cost := o.price() / min(fit, float64(max(left, 2)))
+		if !found || cost < bestCost {
+			best, bestCost, found = o, cost, true
+		}
+	}
+	return best, found
+}
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -62,27 +62,44 @@
 	})
 }
 
-// directOrders are the stops and starts that a worker hasn't been sent.
+// directOrders are the stops and starts that a worker hasn't been sent, as far as one
+// message holds them: the others go out once it is answered.
 func (o *owner) directOrders(m *machine) (orders []protocol.Order, starts []*attempt) {
 	mayStart := o.mayStart()
+	room := protocol.NewOrderRoom()
 	for _, a := range m.sorted() {
+		order, wanted := o.directOrder(a)
 		switch {
-		case a.stop && a.seen && a.stopSent.IsZero():
-			if order, ok := o.stopOrder(a); ok {
-				a.stopSent = o.n.now
-				orders = append(orders, order)
-			}
-		case a.stop || !a.recorded || !a.neverSent():
-		case !mayStart:
+		case !wanted:
+			continue
+		case order.Kind == protocol.Start && !mayStart:
 			o.withhold(m)
-		default:
+			continue
+		case !room.Take(a.job.ID):
+			o.n.bounds.hit(boundOrders)
+			return orders, starts
+		case order.Kind == protocol.Start:
 			starts = append(starts, a)
-			orders = append(orders, startOrder(a))
+		default:
+			a.stopSent = o.n.now
 		}
+		orders = append(orders, order)
 	}
 	return orders, starts
 }
 
+// directOrder is what a worker is to be sent about an attempt without waiting for its
+// report, if anything is.
+func (o *owner) directOrder(a *attempt) (order protocol.Order, wanted bool) {
+	switch {
+	case a.stop && a.seen && a.stopSent.IsZero():
+		return o.stopOrder(a)
+	case a.stop || !a.recorded || !a.neverSent():
+		return protocol.Order{}, false
+	}
+	return startOrder(a), true
+}
+
 // withhold keeps a machine's starts until knowledge is fresh.
 func (o *owner) withhold(m *machine) {
 	if !m.withheld {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -194,10 +194,15 @@
 // a direct start, or its present one, when only a report with a new token can tell
 // whether answers reach it. The fence never wraps: a lower token would be ignored.
 func (o *owner) raiseFence(m *machine, above uint64) {
-	if o.machineToken(m) <= above && m.fence < 1<<fenceBits-1 {
-		m.fence++
-		m.tokenSince, m.tokenSeen = o.n.now, false
+	if o.machineToken(m) > above {
+		return
 	}
+	if m.fence == 1<<fenceBits-1 {
+		o.n.bounds.hit(boundFence)
+		return
+	}
+	m.fence++
+	m.tokenSince, m.tokenSeen = o.n.now, false
 }
 
 // sendStep runs at the end of each step: it sends the orders that the step left.
@@ -223,10 +228,12 @@
 	m.attempts[taskKey{a.job.ID, a.task}] = a
 	a.place = len(m.list)
 	m.list = append(m.list, a)
+	m.reportBytes += protocol.TaskReportBytes(a.job.ID)
 }
 
 func (o *owner) drop(a *attempt) {
 	m := a.machine
+	m.reportBytes -= protocol.TaskReportBytes(a.job.ID)
 	delete(m.attempts, taskKey{a.job.ID, a.task})
 	last := m.list[len(m.list)-1]
 	m.list[a.place], last.place = last, a.place
--- /dev/null
+++ b/internal/coordination/peer_lines.go
@@ -0,0 +1,185 @@
+package coordination
+
+import (
+	"encoding/json"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// MaxPeerLine is the length of the longest line that a peer takes. What doesn't fit goes
+// into further lines, or waits for the next turn.
+const MaxPeerLine = 64 << 10
+
+// Bounds of what is told to peers in one turn. Peers take a few lines at once; a turn that
+// told them of every job of a very large fleet would take a small share of a processor.
+const (
+	lineRoom      = 48 << 10 // bytes of content in one line
+	linesAtOnce   = 6        // lines in one turn
+	progressLines = 4        // of them, those with progress
+
+	jobBytes = 16 // of an entry, beyond the job's id: quotes, colon, comma, brackets
+	numBytes = 6  // of a number of tasks
+)
+
+// finalsTold is how often a final state is told, since a line may be lost.
+const finalsTold = 2
+
+// progressKept is for how long a peer's word on a job's progress counts: a job of a very
+// large fleet has its turn only every few seconds.
+const progressKept = 30 * time.Second
+
+// jobProgress is how many tasks of a job are done and how many run.
+type jobProgress struct{ done, running int }
+
+// MarshalJSON implements json.Marshaler.
+func (p jobProgress) MarshalJSON() ([]byte, error) { return json.Marshal([2]int{p.done, p.running}) }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *jobProgress) UnmarshalJSON(raw []byte) error {
+	var pair [2]int
+	if err := json.Unmarshal(raw, &pair); err != nil {
+		return err
+	}
+	p.done, p.running = pair[0], pair[1]
+	return nil
+}
+
+// publish tells the peers how this node is, which jobs are over and, from a leader, how
+// the others go on.
+func (n *Node) publish() {
+	n.bounds.tell(n.log, n.now)
+	n.tellBursts()
+	turn := n.progressTurn()
+	var again []toldFinal
+	for line := range linesAtOnce {
+		m := n.peerMessage()
+		room := n.addFinals(&m, lineRoom, &again)
+		if line < progressLines {
+			turn.fill(&m, room)
+		}
+		n.publishLine(&m)
+		if len(n.admission.news) == 0 && (turn.over() || line+1 >= progressLines) {
+			break
+		}
+	}
+	if !turn.over() {
+		n.bounds.hit(boundProgress)
+	}
+	n.admission.news = append(n.admission.news, again...)
+}
+
+// peerMessage begins a message with what each one tells.
+func (n *Node) peerMessage() peerMessage {
+	m := peerMessage{Node: n.cfg.Name, Unfit: n.unfit(), StoreOK: !n.storeDown() && n.now.Sub(n.storeOK) < 5*time.Second}
+	if n.lead != nil {
+		m.Term = n.lead.term
+	}
+	return m
+}
+
+func (n *Node) publishLine(m *peerMessage) {
+	raw, err := json.Marshal(m)
+	if err != nil { // messages hold only strings and numbers
+		panic(err)
+	}
+	if len(raw) > MaxPeerLine {
+		n.bounds.hit(boundLine)
+		return
+	}
+	n.out.Publishes = append(n.out.Publishes, Publish{Body: raw})
+}
+
+// addFinals puts final states into a message, as far as there is room, and returns the
+// room that is left. Those that are to be told once more are added to again.
+func (n *Node) addFinals(m *peerMessage, room int, again *[]toldFinal) int {
+	a := &n.admission
+	m.Done, m.Ended = map[string]int{}, map[string]int{}
+	told := 0
+	for _, f := range a.news {
+		size := len(f.job) + jobBytes + numBytes
+		if size > room {
+			break
+		}
+		room -= size
+		told++
+		if f.final.state == protocol.Done {
+			m.Done[f.job] = f.final.done
+		} else {
+			m.Ended[f.job] = f.final.done
+		}
+		if f.times++; f.times < finalsTold {
+			*again = append(*again, f)
+		}
+	}
+	a.news = append(a.news[:0:0], a.news[told:]...)
+	return room
+}
+
+// progressTurn is one turn of telling how a leader's jobs go on, in which each has its
+// place at most once.
+type progressTurn struct {
+	l    *lead
+	left int // jobs that weren't looked at in this turn
+}
+
+func (n *Node) progressTurn() *progressTurn {
+	if n.lead == nil {
+		return &progressTurn{}
+	}
+	return &progressTurn{l: n.lead, left: len(n.lead.order)}
+}
+
+func (t *progressTurn) over() bool { return t.left == 0 }
+
+// fill puts the progress of the next jobs into a message, as far as there is room. The
+// next turn begins where this one ends. A job that went back to nothing is told of, too.
+func (t *progressTurn) fill(m *peerMessage, room int) {
+	if t.l == nil {
+		return
+	}
+	m.Progress = map[string]jobProgress{}
+	for ; t.left > 0; t.left-- {
+		l := t.l
+		if l.tellNext >= len(l.order) {
+			l.tellNext = 0
+		}
+		j := l.order[l.tellNext]
+		begun := j.running > 0 || j.doneCount > 0
+		if begun || j.progressTold {
+			size := len(j.ID) + jobBytes + 2*numBytes
+			if size > room {
+				return
+			}
+			room -= size
+			m.Progress[j.ID] = jobProgress{j.doneCount, j.running}
+			j.progressTold = begun
+		}
+		l.tellNext++
+	}
+}
+
+// heardProgress is a peer's word on a job's progress, and when it came.
+type heardProgress struct {
+	jobProgress
+	at time.Time
+}
+
+// takeProgress takes what a leader tells of its jobs.
+func (p *peerView) takeProgress(m *peerMessage, now time.Time) {
+	if p.term != m.Term || p.progress == nil {
+		p.term, p.progress = m.Term, map[string]heardProgress{}
+	}
+	for job, c := range m.Progress {
+		p.progress[job] = heardProgress{c, now}
+	}
+	if now.Sub(p.pruned) < progressKept {
+		return
+	}
+	p.pruned = now
+	for job, c := range p.progress {
+		if now.Sub(c.at) > progressKept {
+			delete(p.progress, job)
+		}
+	}
+}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -13,8 +12,10 @@
 type peerView struct {
 	at       time.Time
 	storeOK  bool
-	unfit    bool // it led lately and reached too few machines
-	progress map[string][2]int
+	unfit    bool   // it led lately and reached too few machines
+	term     uint64 // of a leader
+	progress map[string]heardProgress
+	pruned   time.Time // when old progress was last dropped
 }
 
 // peerMessage is what controllers tell one another. None of it is needed for
@@ -22,58 +23,13 @@
 // by who wrote them: they are created once and never overwritten, so they may be
 // passed on to users like one's own, however late they come.
 type peerMessage struct {
-	Node     string            `json:"node"`
-	StoreOK  bool              `json:"storeOK"`
-	Unfit    bool              `json:"unfit,omitempty"`
-	Term     uint64            `json:"term,omitempty"` // of a leader
-	Progress map[string][2]int `json:"progress,omitempty"`
-	Done     map[string]int    `json:"done,omitempty"`      // jobs, and their tasks done
-	Ended    map[string]int    `json:"cancelled,omitempty"` // the same of cancelled ones
-}
-
-// finalsTold is how often a final state is told, since a line may be lost, and
-// maxFinalsTold how many are in one message.
-const (
-	finalsTold    = 2
-	maxFinalsTold = 500
-)
-
-// maxProgress bounds how many jobs' progress one message carries, so that it fits the
-// line of 64 KiB that a peer takes. Users of the jobs beyond see no counts.
-const maxProgress = 1200
-
-// publish tells the peers how this node is and, from a leader, how jobs go.
-func (n *Node) publish() {
-	m := peerMessage{Node: n.cfg.Name, Unfit: n.unfit(), StoreOK: !n.storeDown() && n.now.Sub(n.storeOK) < 5*time.Second}
-	if l := n.lead; l != nil {
-		m.Term = l.term
-		m.Progress = map[string][2]int{}
-		for _, j := range l.order {
-			if (j.running > 0 || j.doneCount > 0) && len(m.Progress) < maxProgress {
-				m.Progress[j.ID] = [2]int{j.doneCount, j.running}
-			}
-		}
-	}
-	m.Done, m.Ended = map[string]int{}, map[string]int{}
-	a := &n.admission
-	told := a.news[:min(len(a.news), maxFinalsTold)]
-	var again []toldFinal
-	for _, f := range told {
-		if f.final.state == protocol.Done {
-			m.Done[f.job] = f.final.done
-		} else {
-			m.Ended[f.job] = f.final.done
-		}
-		if f.times++; f.times < finalsTold {
-			again = append(again, f)
-		}
-	}
-	a.news = append(a.news[:0:0], a.news[len(told):]...)
-	a.news = append(a.news, again...)
-	raw, err := json.Marshal(m)
-	if err == nil {
-		n.out.Publishes = append(n.out.Publishes, Publish{Body: raw})
-	}
+	Node     string                 `json:"node"`
+	StoreOK  bool                   `json:"storeOK"`
+	Unfit    bool                   `json:"unfit,omitempty"`
+	Term     uint64                 `json:"term,omitempty"`      // of a leader
+	Progress map[string]jobProgress `json:"progress,omitempty"`  // of some jobs
+	Done     map[string]int         `json:"done,omitempty"`      // jobs, and their tasks done
+	Ended    map[string]int         `json:"cancelled,omitempty"` // the same of cancelled ones
 }
 
 // Peer takes a message from another controller.
@@ -85,7 +41,13 @@
 	}
 	var m peerMessage
 	if protocol.Decode(body, &m) == nil && m.Node != "" && m.Node != n.cfg.Name && n.isPeer(m.Node) {
-		n.peers[m.Node] = &peerView{at: now, storeOK: m.StoreOK, unfit: m.Unfit, progress: m.Progress}
+		p := n.peers[m.Node]
+		if p == nil {
+			p = &peerView{}
+			n.peers[m.Node] = p
+		}
+		p.at, p.storeOK, p.unfit = now, m.StoreOK, m.Unfit
+		p.takeProgress(&m, now)
 		for job, done := range m.Done {
 			n.admission.setFinal(job, protocol.Done, done)
 		}
--- a/internal/coordination/polls.go
+++ b/internal/coordination/polls.go
@@ -146,8 +146,8 @@
 			done, running = j.doneCount, j.running
 		}
 	} else if p := n.peers[n.election.leader.Node]; p != nil {
-		if c, ok := p.progress[job]; ok {
-			done, running = c[0], c[1]
+		if c, ok := p.progress[job]; ok && n.now.Sub(c.at) <= progressKept {
+			done, running = c.done, c.running
 		}
 	}
 	if running > 0 || done > 0 {
--- a/internal/coordination/probes.go
+++ b/internal/coordination/probes.go
@@ -135,10 +135,13 @@
 		return
 	}
 	m.probing = true
-	session := m.session
+	session, sent := m.session, o.n.now
 	o.n.call(Worker, m.addr, "GET", protocol.PathShow, nil, probeTimeout, func(out Outcome) {
 		if o.alive() {
 			m.probing = false
+			if !out.Answered && o.n.lateAt.After(sent) {
+				return // its answer may have come while this process was late
+			}
 			o.probeAnswered(m, session, out)
 		}
 	})
--- /dev/null
+++ b/internal/coordination/rent.go
@@ -0,0 +1,52 @@
+package coordination
+
+import (
+	"fmt"
+	"time"
+
+	"brasskeel/internal/protocol"
+)
+
+// rent asks the cloud for machines.
+func (l *lead) rent(o offer, count int) {
+	n, f := l.n, &l.fleet
+	f.requests++
+	// Never used again, by this node or another: terms are unique, and so is
+	// the counter within one.
+	name := fmt.Sprintf("t%d-%d", l.term, f.requests)
+	key := o.key()
+	f.renting[key] += count
+	n.call(Cloud, "", "POST", protocol.PathHosts, protocol.RentBody(name, o.spec.Name, o.zone, o.spot, count), cloudTimeout, func(out Outcome) {
+		if !l.alive() {
+			return
+		}
+		f.renting[key] -= count
+		switch {
+		case out.Answered && out.Status == 200:
+			names, err := protocol.ParseNames(out.Body)
+			if err != nil {
+				return // what was rented will show in the list
+			}
+			for _, m := range names {
+				if l.machines[m] == nil && l.gone[m].IsZero() {
+					l.journal.putMachine(l.newMachine(m, o.spec.Name, o.zone, o.spot))
+				}
+			}
+			n.log.Info("machines rented", "type", o.spec.Name, "zone", o.zone, "spot", o.spot, "asked", count, "got", len(names))
+			if len(names) < count {
+				f.blocked[key] = n.now.Add(capacityPause)
+			}
+			l.fleetSoon()
+		case out.Answered && out.Status == 503 && protocol.NoCapacity(out.Body):
+			if n.now.Sub(f.blocked[key]) > capacityPause { // else it was so the last time, too
+				n.log.Info("no capacity", "type", o.spec.Name, "zone", o.zone, "spot", o.spot)
+			}
+			f.blocked[key] = n.now.Add(capacityPause)
+			l.fleetSoon()
+		case out.Answered && out.Status == 429:
+		default:
+			// Maybe carried out; then the machines show in the list.
+			f.blocked[key] = n.now.Add(3 * time.Second)
+		}
+	})
+}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -39,7 +39,7 @@
 	o.noteReached(m, r, reported)
 	if r.HasNotice && m.noticeAt.IsZero() {
 		m.noticeAt = o.n.now.Add(r.Notice)
-		o.n.log.Info("machine will be taken", "machine", m.name, "in", r.Notice)
+		o.n.logEach("machine will be taken", "machine", m.name, "in", r.Notice)
 		o.observer.noticeCame(m)
 	}
 	if !o.loaded && !m.listed {
@@ -51,13 +51,25 @@
 		m.reconciled = true
 		o.observer.tasksCompared(m)
 	}
-	orders, clears := o.takeTasks(m, r, reported)
-	orders = append(orders, o.takeAbsent(m, r, reported)...)
+	strays, clears := o.takeTasks(m, r, reported)
+	room := protocol.NewOrderRoom()
+	orders := o.fitOrders(&room, strays)
+	orders = append(orders, o.takeAbsent(m, r, reported, room)...)
 	if !reported {
 		return nil
 	}
-	orders = append(orders, o.stopOrders(m)...)
-	return append(orders, o.clearOrders(m, r, clears)...)
+	room = protocol.NewOrderRoom()
+	return o.fitOrders(&room, slices.Concat(orders, o.stopOrders(m), o.clearOrders(m, r, clears)))
+}
+
+// fitOrders leaves out what one message can't hold. All of it is found wanting again by the
+// worker's next report.
+func (o *owner) fitOrders(room *protocol.OrderRoom, orders []protocol.Order) []protocol.Order {
+	fit, cut := room.Cut(orders)
+	if cut {
+		o.n.bounds.hit(boundOrders)
+	}
+	return fit
 }
 
 // noteWorker takes what a report tells of the worker itself.
@@ -140,8 +152,14 @@
 	return orders, clears
 }
 
-// takeAbsent judges the attempts that a report lacks, in a fixed order.
-func (o *owner) takeAbsent(m *machine, r *protocol.Report, reported bool) []protocol.Order {
+// takeAbsent judges the attempts that a report lacks, in a fixed order. Starts are sent as
+// far as there is room beside the stops, which go first.
+func (o *owner) takeAbsent(m *machine, r *protocol.Report, reported bool, room protocol.OrderRoom) []protocol.Order {
+	for _, a := range m.list {
+		if a.stop {
+			room.Take(a.job.ID)
+		}
+	}
 	var absent []*attempt
 	for _, a := range m.list {
 		if a.report != o.reports {
@@ -151,7 +169,7 @@
 	slices.SortFunc(absent, compareAttempts)
 	var orders []protocol.Order
 	for _, a := range absent {
-		if order, ok := o.absent(m, a, r, reported); ok {
+		if order, ok := o.absent(m, a, r, reported, &room); ok {
 			orders = append(orders, order)
 		}
 	}
@@ -196,12 +214,14 @@
 			orders = append(orders, protocol.Order{Kind: protocol.Stop, Job: t.Job, Index: t.Index, Attempt: t.Attempt})
 		}
 	}
-	return orders
+	room := protocol.NewOrderRoom()
+	return o.fitOrders(&room, orders)
 }
 
 // absent judges an attempt that a newer report lacks. Absence is proof only
-// once nothing that was sent can still start it.
-func (o *owner) absent(m *machine, a *attempt, r *protocol.Report, reported bool) (protocol.Order, bool) {
+// once nothing that was sent can still start it. One that is to be started now takes its
+// order's room.
+func (o *owner) absent(m *machine, a *attempt, r *protocol.Report, reported bool, room *protocol.OrderRoom) (protocol.Order, bool) {
 	none := protocol.Order{}
 	if !a.recorded {
 		return none, false
@@ -250,6 +270,10 @@
 		o.directSoon(m)
 		return none, false
 	}
+	if !room.Take(a.job.ID) {
+		o.n.bounds.hit(boundOrders)
+		return none, false // the next report lacks it, too
+	}
 	a.sentSession, a.sentSeq = r.Session, r.Seq
 	return startOrder(a), true
 }
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -141,7 +141,7 @@
 		if !l.canMove(m, taken) {
 			continue
 		}
-		n.log.Info("moving replicas", "machine", m.name, "attempts", len(m.attempts))
+		n.logEach("moving replicas", "machine", m.name, "attempts", len(m.attempts))
 		if !m.emptying {
 			fixedRoom -= l.fixedRoom(m)
 		}
@@ -233,7 +233,7 @@
 func (l *lead) keep(m *machine) {
 	if m.releasing && m.given && !m.inRelease && !m.draining {
 		m.releasing, m.given = false, false
-		l.n.log.Info("machine heard before it was returned", "machine", m.name)
+		l.n.logEach("machine heard before it was returned", "machine", m.name)
 		l.askPlace()
 	}
 }
@@ -245,7 +245,7 @@
 	}
 	m.releasing = true
 	m.given = why == whySilent
-	l.n.log.Info("returning machine", "machine", m.name, "why", why, "attempts", len(m.attempts), "up", m.up, "quiet", l.n.now.Sub(latest(m.heard, m.rented)).Round(time.Millisecond))
+	l.n.logEach("returning machine", "machine", m.name, "why", why, "attempts", len(m.attempts), "up", m.up, "quiet", l.n.now.Sub(latest(m.heard, m.rented)).Round(time.Millisecond))
 	l.sendReleases()
 }
 
--- a/internal/coordination/score.go
+++ b/internal/coordination/score.go
@@ -130,6 +130,9 @@
 	if cpus > m.spec.CPUs+protocol.Epsilon || gpus > m.spec.GPUs+protocol.Epsilon || mem > m.spec.MemGB+protocol.Epsilon {
 		return false
 	}
+	if !m.roomForTasks(j) {
+		return false
+	}
 	if m.promised == (usage{}) {
 		return true
 	}
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -13,6 +13,49 @@
 	PathShow   = "/show"
 )
 
+// MaxBody is the size of the largest request body, and of the longest line in a response to
+// a worker or a user.
+const MaxBody = 64 << 10
+
+// envelopeBytes is what a message to or from a worker takes beside its orders or tasks, with
+// names as long as they may be.
+const envelopeBytes = 1 << 10
+
+// Lengths of the longest entries without the names in them.
+const (
+	taskEntryBytes  = len(`{"oar":"/99999","launch":18446744073709551615,"bearing":"fetching","wreckCause":"no_room","kept":true},`)
+	orderEntryBytes = len(`{"orderKind":"clear","oar":"/99999","launch":18446744073709551615,"slackS":1000000000.0},`)
+)
+
+// TaskReportBytes is what a task of the job takes in a worker's report at the most.
+func TaskReportBytes(job string) int { return len(job) + taskEntryBytes }
+
+// OrderRoom is what is left of a message to a worker.
+type OrderRoom int
+
+// NewOrderRoom is the room for orders in one message.
+func NewOrderRoom() OrderRoom { return MaxBody - envelopeBytes }
+
+// Take uses the room of an order about a task of the job, if there is as much.
+func (r *OrderRoom) Take(job string) bool {
+	size := OrderRoom(len(job) + orderEntryBytes)
+	if *r < size {
+		return false
+	}
+	*r -= size
+	return true
+}
+
+// Cut shortens a list of orders to what there is room for, and reports whether it had to.
+func (r *OrderRoom) Cut(orders []Order) (fit []Order, cut bool) {
+	for i := range orders {
+		if !r.Take(orders[i].Job) {
+			return orders[:i], true
+		}
+	}
+	return orders, false
+}
+
 type wireReport struct {
 	Machine string     `json:"deck"`
 	Addr    string     `json:"endpoint"`
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -45,8 +45,17 @@
 	outgoingKept  = 12 // that don't give way to accepted ones
 	storeShare    = 4  // more of ours, for the state service alone
 	dialShare     = 10 // at a time: those of machines that are gone hang
+	// Beyond this share of all sockets an answer ends its connection, where connections
+	// had to be shed lately.
+	crowdedShare = 72
 )
 
+// crowdedFor is for how long after a connection was shed, or came while sockets were few,
+// answers end their connections. There may be many more workers than sockets: one whose
+// idle connection is closed under its next report takes that for a failure and goes to
+// another controller a second later, while one that is told to close dials again.
+const crowdedFor = 10 * time.Second
+
 // Handler receives what arrives. All its methods run on the event loop.
 type Handler interface {
 	// Ready runs once, before anything else.
@@ -69,7 +78,7 @@
 
 	maxConns int
 	nextID   uint64
-	accepted map[*served]struct{}
+	accepted *list.List // of *served, the one that was heard longest ago first
 	pending  map[uint64]*served
 	out      []byte
 	idle     map[string][]*outgoing
@@ -77,7 +86,25 @@
 	outgoing int
 	leaving  int // of them, those that were told to close
 	dials    int
-	waiting  []*call
+
+	// Calls that wait for a socket, in order: those of the state service, and all others.
+	waitingStore, waiting *list.List
+	counts                Counts
+	crowdedUntil          time.Time
+}
+
+// Counts are how often bounds of the sockets were reached.
+type Counts struct {
+	Crowded int // answers that ended their connection for want of sockets
+	Shed    int // accepted connections that were closed to make room
+	Busy    int // calls that were given up while they waited for a socket
+}
+
+// Counts tells how often bounds were reached since it was last asked. It runs on the loop.
+func (l *Loop) Counts() Counts {
+	c := l.counts
+	l.counts = Counts{}
+	return c
 }
 
 // served is one accepted connection.
@@ -86,7 +113,7 @@
 	request uint64 // being answered; 0 when none
 	close   bool   // close after the answer
 	partial time.Time
-	active  time.Time
+	place   *list.Element // in the loop's list; nil once it is closed for want of sockets
 	// continued is set once 100 Continue went out for the request being read.
 	continued bool
 }
@@ -109,6 +136,7 @@
 	deadline             time.Time
 	timer                *time.Timer
 	conn                 *outgoing
+	place                *list.Element // while it waits for a socket
 	dialled              bool
 	done                 func(status int, body []byte, err error)
 }
@@ -120,8 +148,8 @@
 func NewLoop(addr, store string, maxConns int, handler Handler, log *slog.Logger) *Loop {
 	return &Loop{
 		addr: addr, store: store, handler: handler, log: log, maxConns: maxConns,
-		accepted: map[*served]struct{}{}, pending: map[uint64]*served{}, idle: map[string][]*outgoing{},
-		unused: list.New(),
+		accepted: list.New(), pending: map[uint64]*served{}, idle: map[string][]*outgoing{},
+		unused: list.New(), waitingStore: list.New(), waiting: list.New(),
 	}
 }
 
@@ -207,9 +235,12 @@
 		l.send(o, o.call)
 		return nil, gnet.None
 	}
-	s := &served{conn: c, active: time.Now()}
+	s := &served{conn: c}
 	c.SetContext(s)
-	l.accepted[s] = struct{}{}
+	s.place = l.accepted.PushBack(s)
+	if l.crowded() {
+		l.crowdedUntil = time.Now().Add(crowdedFor)
+	}
 	if l.open() > l.share(allShare) && !(l.mine() > l.share(outgoingKept) && l.shedUnused()) {
 		l.shedOldest()
 	}
@@ -221,7 +252,14 @@
 // mine is the number of connections of ours, those that are being dialled included,
 // and open the number of all connections.
 func (l *Loop) mine() int { return l.outgoing - l.leaving + l.dials }
-func (l *Loop) open() int { return l.mine() + len(l.accepted) }
+func (l *Loop) open() int { return l.mine() + l.accepted.Len() }
+
+// fewLeft reports whether few sockets are left.
+func (l *Loop) fewLeft() bool { return l.open() > l.share(crowdedShare) }
+
+// crowded reports whether there are more clients than sockets, so that an answer is to end
+// its connection.
+func (l *Loop) crowded() bool { return l.fewLeft() && time.Now().Before(l.crowdedUntil) }
 
 // shedUnused closes the connection of ours that has been unused for longest.
 func (l *Loop) shedUnused() bool {
@@ -237,18 +275,27 @@
 	return true
 }
 
-// shedOldest closes the accepted connection that has been idle longest, so
-// that silent clients can't lock out the others.
+// shedOldest closes the accepted connection that was heard longest ago, so that silent
+// clients can't lock out the others. Those that wait for an answer are kept.
 func (l *Loop) shedOldest() {
-	var oldest *served
-	for s := range l.accepted {
-		if s.request == 0 && (oldest == nil || s.active.Before(oldest.active)) {
-			oldest = s
+	for e := l.accepted.Front(); e != nil; e = e.Next() {
+		s := e.Value.(*served)
+		if s.request != 0 {
+			continue
 		}
+		l.counts.Shed++
+		l.crowdedUntil = time.Now().Add(crowdedFor)
+		l.forget(s)
+		_ = s.conn.Close()
+		return
 	}
-	if oldest != nil {
-		delete(l.accepted, oldest)
-		_ = oldest.conn.Close()
+}
+
+// forget takes an accepted connection out of those that count.
+func (l *Loop) forget(s *served) {
+	if s.place != nil {
+		l.accepted.Remove(s.place)
+		s.place = nil
 	}
 }
 
@@ -256,7 +303,7 @@
 func (l *Loop) OnClose(c gnet.Conn, _ error) gnet.Action {
 	switch s := c.Context().(type) {
 	case *served:
-		delete(l.accepted, s)
+		l.forget(s)
 		if s.request != 0 {
 			delete(l.pending, s.request)
 		}
@@ -296,7 +343,9 @@
 
 func (l *Loop) readRequest(s *served) gnet.Action {
 	now := time.Now()
-	s.active = now
+	if s.place != nil {
+		l.accepted.MoveToBack(s.place)
+	}
 	// Requests are not pipelined; whatever comes early waits, bounded.
 	if s.request != 0 {
 		if s.conn.InboundBuffered() > maxRequestBody+maxHead {
@@ -349,6 +398,10 @@
 	}
 	delete(l.pending, id)
 	s.request = 0
+	if !s.close && !last && l.crowded() {
+		l.counts.Crowded++
+		last = true
+	}
 	s.close = s.close || last
 	l.out = appendResponse(l.out[:0], status, retryAfter, body, s.close)
 	_, _ = s.conn.Write(l.out)
@@ -359,7 +412,7 @@
 	}
 	if s.conn.InboundBuffered() > 0 {
 		l.Post(func() {
-			if _, open := l.accepted[s]; open && l.readRequest(s) == gnet.Close {
+			if s.place != nil && l.readRequest(s) == gnet.Close {
 				_ = s.conn.Close()
 			}
 		})
@@ -378,29 +431,50 @@
 		l.send(o, c)
 		return
 	}
-	l.waiting = append(l.waiting, c)
+	queue := l.waiting
+	if addr == l.store {
+		queue = l.waitingStore
+	}
+	c.place = queue.PushBack(c)
 	l.dialNext()
 }
 
 // dialNext dials for the calls that wait, the state service's first. Without
 // that, silent machines, whose dials hang, would hold up what every answer to
-// users depends on.
+// users depends on. It looks at no call that can't be dialled for: thousands may wait.
 func (l *Loop) dialNext() {
-	keep := l.waiting[:0]
-	for _, c := range l.waiting {
-		switch {
-		case c.done == nil: // given up
-		case c.addr == l.store && l.mine() < l.share(outgoingShare+storeShare),
-			l.dials < max(minDialsAtOnce, l.share(dialShare)) && l.haveRoom():
-			l.dials++
-			c.dialled = true
-			go l.dial(c)
-		default:
-			keep = append(keep, c)
-		}
+	for l.waitingStore.Len() > 0 && (l.mine() < l.share(outgoingShare+storeShare) || l.mayDial()) {
+		l.dialFirst(l.waitingStore)
+	}
+	for l.waiting.Len() > 0 && l.mayDial() {
+		l.dialFirst(l.waiting)
+	}
+}
+
+// mayDial reports whether one more dial may begin now.
+func (l *Loop) mayDial() bool {
+	return l.dials < max(minDialsAtOnce, l.share(dialShare)) && l.haveRoom()
+}
+
+func (l *Loop) dialFirst(queue *list.List) {
+	c := queue.Front().Value.(*call)
+	l.leaveQueue(c)
+	l.dials++
+	c.dialled = true
+	go l.dial(c)
+}
+
+// leaveQueue takes a call out of those that wait for a socket.
+func (l *Loop) leaveQueue(c *call) {
+	if c.place == nil {
+		return
+	}
+	if c.addr == l.store {
+		l.waitingStore.Remove(c.place)
+	} else {
+		l.waiting.Remove(c.place)
 	}
-	clear(l.waiting[len(keep):])
-	l.waiting = keep
+	c.place = nil
 }
 
 // haveRoom reports whether one more connection of ours may be opened, and makes
@@ -519,6 +593,8 @@
 		return
 	}
 	if !c.dialled {
+		l.leaveQueue(c)
+		l.counts.Busy++
 		l.finish(c, 0, nil, ErrBusy)
 		return
 	}
@@ -538,7 +614,8 @@
 // sweep ends half-sent requests and unused outgoing connections.
 func (l *Loop) sweep() {
 	now := time.Now()
-	for s := range l.accepted {
+	for e := l.accepted.Front(); e != nil; e = e.Next() {
+		s := e.Value.(*served)
 		if !s.partial.IsZero() && now.Sub(s.partial) > requestTimeout {
 			l.out = appendResponse(l.out[:0], 408, 0, []byte(`{"error":"request took too long"}`), true)
 			_, _ = s.conn.Write(l.out)
--- a/internal/transport/loop_test.go
+++ b/internal/transport/loop_test.go
@@ -186,7 +186,7 @@
 	}
 	type count struct{ accepted, outgoing int }
 	got := make(chan count, 1)
-	e.loop.Post(func() { got <- count{len(e.loop.accepted), e.loop.outgoing} })
+	e.loop.Post(func() { got <- count{e.loop.accepted.Len(), e.loop.outgoing} })
 	if c := <-got; c.accepted < len(clients) || c.accepted+c.outgoing > e.loop.maxConns {
 		t.Errorf("%d accepted and %d of ours with a limit of %d", c.accepted, c.outgoing, e.loop.maxConns)
 	}
