--- a/cmd/brasskeel/control.go
+++ b/cmd/brasskeel/control.go
@@ -10,11 +10,16 @@
 	"runtime/debug"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"brasskeel/internal/config"
 	"brasskeel/internal/coordination"
 	"brasskeel/internal/transport"
 )
 
+// A peer's stream takes every line that the core makes: this doesn't compile otherwise.
+const _ = uint(transport.MaxPeerLine - coordination.MaxPeerLine)
+
 func logLevel(name string) (slog.Level, error) {
 	switch name {
 	case "", "info":
@@ -68,6 +73,9 @@
 	if err != nil {
 		return err
 	}
+	if most, known := openFiles(); known && most < uint64(cfg.Sockets+otherFiles) {
+		log.Warn("fewer file descriptors than sockets: connections will be refused", "descriptors", most, "sockets", cfg.Sockets)
+	}
 	log.Info("starting", "listen", cfg.Listen, "back", cfg.PeerListen, "zone", cfg.Zone)
 	if err := c.loop.Run(); err != nil {
 		return err
@@ -75,6 +83,20 @@
 	return errors.New("the event loop ended")
 }
 
+// otherFiles is how many file descriptors the process needs beside sockets: its standard
+// streams, the settings, and what the runtime and the event loop hold.
+const otherFiles = 16
+
+// openFiles is how many file descriptors the process may hold. The runtime has raised the
+// soft limit to the hard one by now.
+func openFiles() (most uint64, known bool) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, false
+	}
+	return limit.Cur, true
+}
+
 // Ready implements transport.Handler.
 func (c *control) Ready() {
 	c.apply(c.node.Start(time.Now()))
@@ -114,6 +136,10 @@
 	for i := range e.Publishes {
 		c.peers.Publish(e.Publishes[i].Body)
 	}
+	if len(e.Publishes) > 0 { // once a second
+		k := c.loop.Counts()
+		c.node.Sockets(k.Crowded, k.Shed, k.Busy)
+	}
 	if next := c.node.Next(); !next.IsZero() && (c.armed.IsZero() || next.Before(c.armed)) {
 		c.armed = next
 		c.timer.Reset(max(0, time.Until(next)))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -142,6 +142,15 @@
 	Times   float64 `toml:"times"`
 }
 
+// The least that a controller can work with: an election writes two keys in one transaction,
+// a record of a job or of four tasks takes some hundred bytes, and beside the state service,
+// the cloud and two peers there must be sockets for some workers and users.
+const (
+	minTxnOps  = 2
+	minValueKB = 1
+	minSockets = 32
+)
+
 // minCancelSlack is what a cancellation must have beyond a worker's lease, for a leader to
 // learn of it before it renews another one.
 const minCancelSlack = 3 * time.Second
@@ -227,6 +236,17 @@
 			return nil, fmt.Errorf("settings: facts.%s must be above zero", v.name)
 		}
 	}
+	for _, v := range []struct {
+		name         string
+		value, least float64
+	}{
+		{"state.txn_ops", float64(st.TxnOps), minTxnOps}, {"state.value_kb", st.ValueKB, minValueKB},
+		{"quota.sockets", float64(q.Sockets), minSockets},
+	} {
+		if v.value < v.least {
+			return nil, fmt.Errorf("settings: facts.%s must be %g or more", v.name, v.least)
+		}
+	}
 	if !(cl.ListLagS >= 0) || !(f.Params.TimeBoundMS >= 0) {
 		return nil, errors.New("settings: facts.cloud.list_lag_s and facts.time_bound_ms must not be negative")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -74,6 +74,9 @@
 		{`lease_s = 28.0`, `lease_s = nan`, "lease_s must be above zero"},
 		{`cpus_max = 2.0`, `cpus_max = 0.5`, "maximum below its guarantee"},
 		{`txn_ops = 16`, ``, "txn_ops must be above zero"},
+		{`txn_ops = 16`, `txn_ops = 1`, "txn_ops must be 2 or more"},
+		{`value_kb = 8.0`, `value_kb = 0.5`, "value_kb must be 1 or more"},
+		{`sockets = 900`, `sockets = 10`, "sockets must be 32 or more"},
 		{`domain = "a"`, ``, "domain is missing"},
 		{`[facts.cloud]`, `[[facts.cloud]]`, "settings"},
 	} {
@@ -84,6 +87,17 @@
 	}
 }
 
+// TestParseLargeFleet takes settings of controllers for tens of thousands of machines.
+func TestParseLargeFleet(t *testing.T) {
+	large := strings.NewReplacer("cpus = 1.0\ncpus_max = 2.0", "cpus = 800000.0\ncpus_max = 3200000.0", "rps = 120.0", "rps = 20000.0",
+		"write_rps = 40.0", "write_rps = 8000.0", "sockets = 900", "sockets = 200000", "ram_mb = 98.0", "ram_mb = 65536.0",
+		"txn_ops = 16", "txn_ops = 4096", "value_kb = 8.0", "value_kb = 1024.0", "rps = 2.0", "rps = 500.0").Replace(good)
+	s, err := Parse([]byte(large))
+	if err != nil || s.Sockets != 200000 || s.Teams[0].CPUsMax != 3.2e6 {
+		t.Errorf("got %+v, %v", s, err)
+	}
+}
+
 // TestEncode writes settings and reads them again.
 func TestEncode(t *testing.T) {
 	s, err := Parse([]byte(good))
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -10,22 +11,32 @@
 	"brasskeel/internal/protocol"
 )
 
-// Sizes of the benchmarks: a fleet of 1,600 machines with tens of thousands of
-// tasks. What an event costs must not grow with them more than it has to.
-const (
-	benchMachines = 1600
-	benchJobs     = 600
-)
+// benchSizes are the fleets of the benchmarks, in machines. What an event costs must not grow
+// faster than they do, and what concerns one machine not at all.
+var benchSizes = []int{250, 1000, 4000}
+
+// atSizes runs a benchmark for each size of fleet.
+func atSizes(b *testing.B, run func(b *testing.B, machines int)) {
+	for _, machines := range benchSizes {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) {
+			b.ReportAllocs()
+			run(b, machines)
+		})
+	}
+}
+
+// benchJobs is how many jobs a fleet has: about eighteen tasks for each machine.
+func benchJobs(machines int) int { return machines * 3 / 8 }
 
 // largeLead is a leader of a large, empty fleet with many waiting jobs.
-func largeLead(jobs int) (*Node, *lead) {
+func largeLead(machines, jobs int) (*Node, *lead) {
 	n, l := leading(active)
 	n.teams["red"] = &config.Team{Name: "red", CPUs: 14000, CPUsMax: 1e6}
 	n.teams["blue"] = &config.Team{Name: "blue", CPUs: 3000, CPUsMax: 1e6}
 	l.teams["blue"] = &usage{}
 	n.setTypes([]protocol.MachineType{{Name: "small", CPUs: 16, MemGB: 128, CacheGB: 35, FetchRate: 1, Price: 1, SpotPrice: 0.5,
 		Boot: 10 * time.Second, Zones: []string{"a"}}})
-	for i := range benchMachines {
+	for i := range machines {
 		m := l.newMachine(fmt.Sprintf("vm-%06d", i), "small", "a", false)
 		m.up, m.recorded, m.heard, m.answered, m.reached, m.session, m.addr = true, true, n.now, n.now, n.now, 1, "x"
 	}
@@ -50,10 +61,15 @@
 
 // fill places what has room, as often as records allow.
 func fill(l *lead) {
-	for range 60 {
+	for range 10 + len(l.fleetList)/25 {
 		l.place()
 		l.journal.unsaved, l.journal.urgent = 0, nil
 	}
+	runAll(l)
+}
+
+// runAll takes all that was placed for running.
+func runAll(l *lead) {
 	for _, m := range l.fleetList {
 		for _, a := range m.attempts {
 			a.recorded, a.seen, a.state, a.since = true, true, protocol.Running, l.n.now
@@ -62,44 +78,64 @@
 }
 
 func BenchmarkPlaceIntoEmptyFleet(b *testing.B) {
-	b.ReportAllocs()
-	for b.Loop() {
-		b.StopTimer()
-		_, l := largeLead(benchJobs)
-		b.StartTimer()
-		l.place()
-	}
+	atSizes(b, func(b *testing.B, machines int) {
+		for b.Loop() {
+			b.StopTimer()
+			_, l := largeLead(machines, benchJobs(machines))
+			b.StartTimer()
+			l.place()
+		}
+	})
+}
+
+// BenchmarkPlaceOneTaskJobs places a burst of jobs of one task each, a round of them.
+func BenchmarkPlaceOneTaskJobs(b *testing.B) {
+	atSizes(b, func(b *testing.B, machines int) {
+		for b.Loop() {
+			b.StopTimer()
+			_, l := largeLead(machines, 0)
+			for i := range machines {
+				j := benchJob(2 + i%8)
+				j.ID, j.Tasks = fmt.Sprintf("run-%06d", i), 1
+				l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(l.n.now), Chunk: 96, Spec: j})
+			}
+			b.StartTimer()
+			l.place()
+		}
+	})
 }
 
 func BenchmarkPlaceInFullFleet(b *testing.B) {
-	_, l := largeLead(benchJobs)
-	fill(l)
-	l.place() // what gives way has been stopped by then
-	b.ReportAllocs()
-	for b.Loop() {
-		l.place()
-	}
+	atSizes(b, func(b *testing.B, machines int) {
+		_, l := largeLead(machines, benchJobs(machines))
+		fill(l)
+		l.place() // what gives way has been stopped by then
+		for b.Loop() {
+			l.place()
+		}
+	})
 }
 
 func BenchmarkReport(b *testing.B) {
-	n, l := largeLead(benchJobs)
-	fill(l)
-	n.take()
-	m := l.fleetList[0]
-	r := &protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Token: l.tenure.token()}
-	for _, a := range m.sorted() {
-		r.Tasks = append(r.Tasks, protocol.TaskReport{Job: a.job.ID, Index: a.task, Attempt: a.number, State: protocol.Running})
-	}
-	id := uint64(0)
-	b.ReportAllocs()
-	for b.Loop() {
-		b.StopTimer()
-		id++
-		r.Seq++
-		body := protocol.EncodeReport(r)
-		b.StartTimer()
-		n.Request(n.now, id, "POST", protocol.PathReport, body)
-	}
+	atSizes(b, func(b *testing.B, machines int) {
+		n, l := largeLead(machines, benchJobs(machines))
+		fill(l)
+		n.take()
+		m := l.fleetList[0]
+		r := &protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Token: l.tenure.token()}
+		for _, a := range m.sorted() {
+			r.Tasks = append(r.Tasks, protocol.TaskReport{Job: a.job.ID, Index: a.task, Attempt: a.number, State: protocol.Running})
+		}
+		id := uint64(0)
+		for b.Loop() {
+			b.StopTimer()
+			id++
+			r.Seq++
+			body := protocol.EncodeReport(r)
+			b.StartTimer()
+			n.Request(n.now, id, "POST", protocol.PathReport, body)
+		}
+	})
 }
 
 // BenchmarkReportOfExits takes a report of 200 small tasks that are done, whose array has
@@ -109,7 +145,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		b.StopTimer()
-		n, l := largeLead(0)
+		n, l := largeLead(1000, 0)
 		spec := benchJob(2)
 		spec.Tasks, spec.CPUs, spec.MemGB = 15000, 0.05, 0.05
 		l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: spec})
@@ -129,21 +165,159 @@
 	}
 }
 
-func BenchmarkFleetStep(b *testing.B) {
-	_, l := largeLead(benchJobs)
-	fill(l)
-	b.ReportAllocs()
-	for b.Loop() {
-		l.watchMachines()
-		l.grow()
-		l.shrink()
-		l.consolidate()
+// BenchmarkTimers takes one step of each of a leader's timers in a full fleet.
+func BenchmarkTimers(b *testing.B) {
+	for _, step := range []struct {
+		name string
+		run  func(l *lead)
+	}{
+		{"watch", (*lead).watchMachines},
+		{"grow", (*lead).grow},
+		{"shrink", (*lead).shrink},
+		{"consolidate", (*lead).consolidate},
+		{"explain", func(l *lead) { l.told.at = time.Time{}; l.explain() }},
+		{"publish", func(l *lead) { l.n.publish(); l.n.out = Effects{} }},
+	} {
+		b.Run(step.name, func(b *testing.B) {
+			atSizes(b, func(b *testing.B, machines int) {
+				_, l := largeLead(machines, benchJobs(machines))
+				fill(l)
+				l.n.take()
+				for b.Loop() {
+					l.fleet.budget.Take(l.n.now, l.fleet.budget.Available(l.n.now)) // nothing is asked of the cloud
+					step.run(l)
+				}
+			})
+		})
+	}
+}
+
+// bootingFleet boots as a whole, and twice as much waits as it will hold.
+func bootingFleet(machines int) *lead {
+	_, l := largeLead(machines, 2*benchJobs(machines))
+	for _, m := range l.fleetList {
+		m.up = false
+	}
+	for i, j := range l.order {
+		j.OneZone, j.MemGB = i%4 == 0, 4+float64(i%50)/20
+		l.fleet.unmet = append(l.fleet.unmet, demand{j, j.toStart()})
+	}
+	return l
+}
+
+// BenchmarkGrowWhileBooting looks at what is to be rented while the whole fleet boots and
+// twice as much waits as it will hold.
+func BenchmarkGrowWhileBooting(b *testing.B) {
+	atSizes(b, func(b *testing.B, machines int) {
+		l := bootingFleet(machines)
+		for b.Loop() {
+			l.fleet.budget.Take(l.n.now, l.fleet.budget.Available(l.n.now))
+			l.grow()
+		}
+	})
+}
+
+// loneReplicas is a fleet where each machine holds one replica, whose image others hold that
+// have no room for it.
+func loneReplicas(machines int) *lead {
+	_, l := largeLead(machines, 0)
+	for i, m := range l.fleetList {
+		j := benchJob(0)
+		j.ID, j.Tasks, j.CPUs = fmt.Sprintf("run-%06d", i), 1, 7
+		j.Image = fmt.Sprintf("img-%d", i%20)
+		l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(l.n.now), Chunk: 96, Spec: j})
+		l.assign(l.order[i], 0, m)
+		l.order[i].next = 1
+		m.images.add(l.order[i].image, 1.5, 35)
+		m.rented = l.n.now.Add(-time.Hour)
+		big := benchJob(2)
+		big.ID, big.Tasks, big.CPUs = fmt.Sprintf("run-%06d", machines+i), 1, 3
+		l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(l.n.now), Chunk: 96, Spec: big})
+		if i%2 == 0 {
+			l.assign(l.order[len(l.order)-1], 0, m)
+			l.order[len(l.order)-1].next = 1
+		}
+	}
+	runAll(l)
+	return l
+}
+
+// BenchmarkLoneReplicas looks for machines to be returned where each holds one replica.
+func BenchmarkLoneReplicas(b *testing.B) {
+	atSizes(b, func(b *testing.B, machines int) {
+		l := loneReplicas(machines)
+		for b.Loop() {
+			l.fleet.movedAt = time.Time{}
+			l.shrink()
+			l.consolidate()
+			for _, m := range l.fleetList {
+				m.emptying = false
+			}
+		}
+	})
+}
+
+// BenchmarkLoad reads the records of a fleet with running tasks as a new leader, and tells
+// how much memory the loaded core holds.
+func BenchmarkLoad(b *testing.B) {
+	atSizes(b, func(b *testing.B, machines int) {
+		r := fleetRecords(machines)
+		var l *lead
+		for b.Loop() {
+			b.StopTimer()
+			l = nil
+			n, _ := leading(active)
+			b.StartTimer()
+			if l = r.lead(n); l.phase != settling {
+				b.Fatal("not loaded")
+			}
+		}
+		b.StopTimer()
+		b.ReportMetric(float64(heldBy(&l))/(1<<20), "core-MB")
+	})
+}
+
+// heldBy is how much memory is freed once a leader is given up.
+func heldBy(l **lead) uint64 {
+	inUse := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := inUse()
+	*l = nil
+	return before - min(before, inUse())
+}
+
+// fleetRecords are the records of a fleet whose machines run sixteen tasks each.
+func fleetRecords(machines int) *fakeStore {
+	r := &fakeStore{items: map[string]protocol.Item{}}
+	const perRecord, perMachine, perJob = 48, 16, 96
+	name := func(i int) string { return fmt.Sprintf("vm-%06d", i) }
+	for g := range (machines + perRecord - 1) / perRecord {
+		group := bookkeeping.Machines{Type: "small", Zone: "a"}
+		for i := g * perRecord; i < min(machines, (g+1)*perRecord); i++ {
+			group.Machines = append(group.Machines, bookkeeping.Machine{Name: name(i), Addr: "10.1.0.1:9000"})
+		}
+		r.put(bookkeeping.KeyMachines(0, 1, uint64(g+1)), group)
+	}
+	for i := range machines * perMachine / perJob {
+		job := benchJob(10*i + 2)
+		job.Tasks = perJob
+		r.put(bookkeeping.KeyActive(job.ID), bookkeeping.Job{Chunk: perJob, Spec: job})
+		chunk := bookkeeping.Chunk{}
+		for task := range perJob {
+			chunk.Tasks = append(chunk.Tasks, bookkeeping.TaskRecord{Offset: task, Attempt: 1, Machine: name((i*perJob + task) / perMachine)})
+		}
+		r.put(bookkeeping.KeyChunk(job.ID, 0), chunk)
 	}
+	return r
 }
 
 // BenchmarkSubmit takes a submission in and the answer of the state service.
 func BenchmarkSubmit(b *testing.B) {
-	n, _ := largeLead(benchJobs)
+	n, _ := largeLead(1000, 40)
 	body := protocol.EncodeJob(benchJob(2))
 	committed := protocol.EncodeRevision(7)
 	id := uint64(0)
@@ -159,7 +333,7 @@
 
 // BenchmarkPolls takes forty polls in, which one transaction checks.
 func BenchmarkPolls(b *testing.B) {
-	n, _ := largeLead(benchJobs)
+	n, _ := largeLead(1000, 40)
 	committed := protocol.EncodeRevision(7)
 	for i := range 40 {
 		n.admission.setKnown(benchJob(i).ID)
--- a/internal/coordination/bounds.go
+++ b/internal/coordination/bounds.go
@@ -54,7 +54,7 @@
 		boundTasks: "others are placed elsewhere", boundList: "the list is not compared",
 		boundFence: "only calls show whether the worker is reached", boundTypes: "other controllers ask the cloud for them",
 		boundLine: "the line is dropped", boundCrowded: "clients dial again", boundShed: "clients dial again",
-		boundNoSockets: "they are tried again", boundServed: "no machine is rented while timers are late",
+		boundNoSockets: "they are tried again", boundServed: "fewer machines are rented, none while timers are late",
 	}[b]
 }
 
@@ -101,7 +101,7 @@
 // half as many questions as a transaction has conditions, so those that wait are answered
 // within about a second; half of the sockets are left for workers in any case.
 func (n *Node) maxWaiting() int {
-	perCheck := 2 * n.cfg.TxnOps
+	perCheck := n.maxConditions() / 2
 	perSecond := int(time.Second / n.checkPause())
 	return max(minWaiting, min(perCheck*perSecond, n.cfg.Sockets/2))
 }
--- a/internal/coordination/grow.go
+++ b/internal/coordination/grow.go
@@ -23,7 +23,9 @@
 	mem    float64
 	need   map[string]int // machines to be asked for, by offer
 	order  []offer        // those offers
+	looked int            // bins that were looked at, over all jobs
 	rented int            // machines to be asked for
+	most   int            // of them
 	rooms  map[string]*usage
 }
 
@@ -44,7 +46,7 @@
 	if l.phase != active || n.storeDown() || len(n.types) == 0 || !n.now.Before(l.right.validUntil) || f.partly {
 		return false
 	}
-	if n.strained() {
+	if n.strained() || l.beyondSockets() && n.now.Sub(n.behindAt) < carefulFor {
 		n.bounds.hit(boundServed)
 		return false
 	}
@@ -56,14 +58,43 @@
 	return true
 }
 
+// Operators size a controller's sockets for its fleet, with one for each worker. A fleet that
+// outgrows them may outgrow its leader's share of a processor as well, and that shows only
+// when machines are up: thousands rented at once, while the first of them booted, left a
+// leader that was so late that users were not answered any more. So beyond that size the
+// fleet grows by steps of a part of it, each one after the one before is up, and only while
+// the leader has kept up with its timers.
+const (
+	carefulStep = 8 // part of the fleet that may boot, as a divisor
+	carefulFor  = 8 * time.Second
+)
+
+// beyondSockets reports whether there are more machines than sockets for their workers.
+func (l *lead) beyondSockets() bool { return len(l.fleetList) > l.socketFleet() }
+
+// socketFleet is how many machines have a socket each.
+func (l *lead) socketFleet() int { return l.n.cfg.Sockets * socketsOfWorkers / 100 }
+
+// socketsOfWorkers is the part of all sockets that workers may hold for long, in percent.
+const socketsOfWorkers = 70
+
+// rentable is how many machines may be rented in one turn.
+func (g *growth) rentable() int {
+	l := g.l
+	fleet := len(l.fleetList)
+	step := max(protocol.MaxRent, fleet/carefulStep) - len(g.bins)
+	return max(0, min(rentAtOnce, max(l.socketFleet()-fleet, step)))
+}
+
 // grow rents what the waiting work and the headroom need beyond what boots.
 func (l *lead) grow() {
 	if !l.mayGrow() {
 		return
 	}
 	g := l.newGrowth()
+	g.most = g.rentable()
 	for _, d := range l.fleet.unmet {
-		if g.rented >= rentAtOnce {
+		if g.rented >= g.most {
 			break
 		}
 		g.serve(d)
@@ -104,7 +135,7 @@
 		room.gpus -= float64(count) * j.GPUs
 	}
 	put(g.fill(j, zones, left))
-	for left > 0 && g.rented < rentAtOnce {
+	for left > 0 && g.rented < g.most {
 		o, ok := bestOffer(g.offers, j.Job, left, zones.allows)
 		// One that has waited for too long gets a machine to begin on.
 		if !ok || l.tooDear(j, o) && !(left == wanted && j.overdue(l.n.now.Round(0))) {
@@ -135,6 +166,7 @@
 	key := keyOf(j)
 	i, found := g.from[key], 0
 	for ; i < len(g.open) && found < most; i++ {
+		g.looked++
 		found += g.put(g.open[i], j, zones, most-found)
 	}
 	if !j.OneZone && !j.Spread {
@@ -195,7 +227,7 @@
 	}
 	for _, j := range g.l.order {
 		free := &zoneCount{count: map[string]int{}}
-		for left := held[j]; left > 0 && g.rented < rentAtOnce; left-- {
+		for left := held[j]; left > 0 && g.rented < g.most; left-- {
 			if g.fill(j, free, 1) > 0 {
 				continue
 			}
@@ -230,7 +262,7 @@
 		return
 	}
 	for cheapest := g.offers[0]; free < want-protocol.Epsilon; {
-		if len(g.bins) > max(rentAtOnce, len(l.fleetList)) {
+		if len(g.bins) > max(rentAtOnce, len(l.fleetList)) || l.beyondSockets() && g.rented >= g.most {
 			return
 		}
 		free += g.rent(cheapest).cpus
--- /dev/null
+++ b/internal/coordination/limits_test.go
@@ -0,0 +1,490 @@
+package coordination
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/config"
+	"brasskeel/internal/protocol"
+)
+
+// Tests of bounds that a fleet of thousands of machines reaches.
+
+// follower is another controller that hears a leader.
+func follower(n *Node) *Node {
+	cfg := *n.cfg
+	cfg.Name = "n1"
+	cfg.Peers = append(cfg.Peers[:0:0], cfg.Peers...)
+	cfg.Peers = append(cfg.Peers, config.Peer{Name: n.cfg.Name, Zone: n.cfg.Zone})
+	f := New(&cfg, n.op, slog.New(slog.DiscardHandler), 2, n.now)
+	f.election.leader.Node = n.cfg.Name
+	return f
+}
+
+// tellPeer hands a turn of a leader's lines to a follower, and reports the longest one.
+func tellPeer(n, f *Node) (longest int) {
+	n.out = Effects{}
+	n.publish()
+	for _, p := range n.take().Publishes {
+		longest = max(longest, len(p.Body))
+		f.Peer(n.now, p.Body)
+	}
+	return longest
+}
+
+// A follower knows how every job of a large fleet goes on after a few turns, and each line
+// fits the stream. Only the first 1,200 jobs were told of, and users of the others saw them
+// queued for ever.
+func TestProgressOfAllJobsIsTold(t *testing.T) {
+	const jobs = 9000
+	n, l := largeLead(10, jobs)
+	for _, j := range l.order {
+		j.running = 3
+	}
+	f := follower(n)
+	for turn := range 3 {
+		if longest := tellPeer(n, f); longest > MaxPeerLine {
+			t.Fatalf("turn %d: a line of %d bytes", turn, longest)
+		}
+	}
+	for _, j := range l.order {
+		if s, _, running := f.progress(j.ID); s != protocol.JobRunning || running != 3 {
+			t.Fatalf("%s: %v, %d running", j.ID, s, running)
+		}
+	}
+	// One that went back to nothing is told of once more.
+	l.order[0].running = 0
+	for range 3 {
+		tellPeer(n, f)
+	}
+	if _, _, running := f.progress(l.order[0].ID); running != 0 {
+		t.Errorf("%d tasks run that were stopped", running)
+	}
+}
+
+// Thousands of jobs that end within a second are told to peers within seconds, each at
+// least once: 500 of them were told a second, and what came beyond 5,000 was dropped.
+func TestManyFinalStatesAreTold(t *testing.T) {
+	n, _ := leading(active)
+	n.cfg.StateWriteRPS = 1000
+	n.admission.maxNews = n.maxNews()
+	const jobs = 12_000
+	for i := range jobs {
+		n.admission.noteFinal(fmt.Sprintf("run-%06d", i), protocol.Done, 1)
+	}
+	f := follower(n)
+	for range 5 {
+		if longest := tellPeer(n, f); longest > MaxPeerLine {
+			t.Fatalf("a line of %d bytes", longest)
+		}
+	}
+	if len(f.admission.finals) != jobs {
+		t.Errorf("%d of %d final states are known", len(f.admission.finals), jobs)
+	}
+}
+
+// listedMachines answers calls for the cloud's list with machines from 0 to count.
+func listedMachines(c Call, count int) []byte {
+	first := 0
+	if _, after, found := strings.Cut(c.Target, "=vm-"); found {
+		if _, err := fmt.Sscanf(after, "%d", &first); err != nil {
+			panic(err)
+		}
+		first++
+	}
+	var list []protocol.ListedMachine
+	for i := first; i < min(count, first+protocol.MaxListed); i++ {
+		list = append(list, protocol.ListedMachine{Name: fmt.Sprintf("vm-%06d", i), Type: "small", Zone: "a", State: protocol.Up, Age: time.Hour})
+	}
+	return protocol.EncodeList(list, first+protocol.MaxListed < count)
+}
+
+// readList lets a leader read a list of machines once, refusing one call in every refuse.
+func readList(n *Node, l *lead, count, refuse int) (calls int) {
+	n.out = Effects{}
+	l.listMachines()
+	for range 10_000 {
+		e := n.take()
+		for _, c := range e.Calls {
+			if c.To != Cloud || !strings.HasPrefix(c.Target, protocol.PathHosts+"?") {
+				continue
+			}
+			calls++
+			o := Outcome{Answered: true, Status: 200, Body: listedMachines(c, count)}
+			if refuse > 0 && calls%refuse == 0 {
+				o = Outcome{Answered: true, Status: 429}
+			}
+			n.out.Calls = append(n.out.Calls, n.Result(n.now, c.ID, o).Calls...)
+		}
+		if !l.fleet.listing {
+			return calls
+		}
+		if len(n.out.Calls) == 0 {
+			n.now = n.now.Add(100 * time.Millisecond)
+			n.out.Calls = append(n.out.Calls, n.Tick(n.now).Calls...)
+		}
+	}
+	return calls
+}
+
+// A list of 25,000 machines is read to its end, also when a page is refused, and machines
+// on its last page stay. Reading ended after 20,000, the others were taken for gone, and
+// one refused page cost all before it.
+func TestLongListsAreReadToTheEnd(t *testing.T) {
+	const count = 25_000
+	n, l := leading(active)
+	last := l.newMachine(fmt.Sprintf("vm-%06d", count-1), "small", "a", false)
+	last.recorded, last.rented = true, n.now.Add(-time.Hour)
+	l.fleet.budget = bookkeeping.NewBudget(1000, 1000, n.now)
+	if calls := readList(n, l, count, 7); !l.fleet.listed || calls < count/protocol.MaxListed {
+		t.Fatalf("not read in %d calls", calls)
+	}
+	if len(l.machines) != count || !last.missing.IsZero() {
+		t.Errorf("%d machines are known, the last one is missing: %t", len(l.machines), !last.missing.IsZero())
+	}
+}
+
+// Lists of a large fleet leave most of the cloud's calls for renting and returning. Read
+// every six seconds, those of 4,000 machines took two thirds of two calls a second.
+func TestListsLeaveCallsForOthers(t *testing.T) {
+	_, l := largeLead(4000, 0)
+	l.n.cfg.CloudRPS, l.n.cfg.ListLag = 2, 12*time.Second
+	pages := float64(1 + 4000/protocol.MaxListed)
+	if share := pages / l.listInterval().Seconds() / l.n.cfg.CloudRPS; share > 0.26 {
+		t.Errorf("lists take %.2f of the calls", share)
+	}
+	_, small := largeLead(250, 0)
+	small.n.cfg.CloudRPS, small.n.cfg.ListLag = 2, 12*time.Second
+	if i := small.listInterval(); i != 6*time.Second {
+		t.Errorf("a small fleet's list is read every %s", i)
+	}
+}
+
+// A list that repeats its pages isn't read without end.
+func TestEndlessListIsGivenUp(t *testing.T) {
+	n, l := leading(active)
+	l.listMachines()
+	again := protocol.EncodeList([]protocol.ListedMachine{{Name: "vm-000001", Type: "small", Zone: "a", State: protocol.Up}}, true)
+	calls := 0
+	for range 20 {
+		for _, c := range n.take().Calls {
+			if c.To == Cloud {
+				calls++
+				n.out.Calls = append(n.out.Calls, n.Result(n.now, c.ID, Outcome{Answered: true, Status: 200, Body: again}).Calls...)
+			}
+		}
+		n.now = n.now.Add(100 * time.Millisecond)
+		n.out.Calls = append(n.out.Calls, n.Tick(n.now).Calls...)
+	}
+	if calls > 4 || l.fleet.listed {
+		t.Errorf("%d calls, taken for read: %t", calls, l.fleet.listed)
+	}
+}
+
+// crowded is a machine that runs very many small tasks.
+func crowded(tasks int) (*Node, *lead, *machine) {
+	n, l := largeLead(1, 0)
+	spec := benchJob(2)
+	spec.Tasks, spec.CPUs, spec.MemGB = tasks, 0.001, 0.001
+	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: spec})
+	m := l.fleetList[0]
+	for i := range tasks {
+		l.assign(l.order[0], i, m)
+		l.order[0].next = i + 1
+	}
+	runAll(l)
+	n.take()
+	return n, l, m
+}
+
+// Messages to a worker hold what fits 64 KiB, and what doesn't goes out with the next.
+func TestOrdersFitMessages(t *testing.T) {
+	const tasks = 3000
+	n, l, m := crowded(tasks)
+	l.jobOver(l.order[0], protocol.Cancelled)
+	stopped := map[int]bool{}
+	calls := n.take().Calls
+	for range 20 {
+		var next []Call
+		for _, c := range calls {
+			if c.To != Worker {
+				continue
+			}
+			if len(c.Body) > protocol.MaxBody {
+				t.Fatalf("a message of %d bytes", len(c.Body))
+			}
+			_, _, orders, err := protocol.ParseOrders(c.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, o := range orders {
+				stopped[o.Index] = true
+			}
+			m.seq++
+			body := protocol.EncodeReport(&protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: m.seq, Token: l.tenure.token(),
+				Tasks: reported(m)})
+			next = append(next, n.Result(n.now, c.ID, Outcome{Answered: true, Status: 200, Body: body}).Calls...)
+		}
+		calls = next
+	}
+	if len(stopped) != tasks {
+		t.Errorf("%d of %d tasks were stopped", len(stopped), tasks)
+	}
+	// The same by the answer of a report.
+	m.seq++
+	r := &protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: m.seq, Token: l.tenure.token(), Tasks: reported(m)}
+	e := n.Request(n.now, 99, "POST", protocol.PathReport, protocol.EncodeReport(r))
+	if len(e.Replies) != 1 || len(e.Replies[0].Body) > protocol.MaxBody {
+		t.Fatalf("answers: %d", len(e.Replies))
+	}
+	if _, _, orders, err := protocol.ParseOrders(e.Replies[0].Body); err != nil || len(orders) < 300 {
+		t.Errorf("%d orders, %v", len(orders), err)
+	}
+	if n.bounds.total[boundOrders] == 0 {
+		t.Error("nothing was counted")
+	}
+}
+
+// reported are the tasks on a machine as its worker reports them.
+func reported(m *machine) []protocol.TaskReport {
+	var list []protocol.TaskReport
+	for _, a := range m.sorted() {
+		list = append(list, protocol.TaskReport{Job: a.job.ID, Index: a.task, Attempt: a.number, State: protocol.Running})
+	}
+	return list
+}
+
+// A machine gets no more tasks than its worker's report can name: a request of more than
+// 64 KiB is refused, and the worker would lose all of them with its lease.
+func TestTasksFitReports(t *testing.T) {
+	n, l := largeLead(1, 0)
+	spec := benchJob(2)
+	spec.Tasks, spec.CPUs, spec.MemGB = 5000, 0.001, 0.001
+	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: spec})
+	fill(l)
+	m := l.fleetList[0]
+	r := &protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: 1, Tasks: reported(m)}
+	if size := len(protocol.EncodeReport(r)); len(r.Tasks) < 300 || size > protocol.MaxBody {
+		t.Errorf("%d tasks in a report of %d bytes", len(r.Tasks), size)
+	}
+}
+
+// What may wait follows the state service and the sockets: 400 requests were fewer than the
+// polls of a large fleet's users within a second.
+func TestWaitingFollowsSettings(t *testing.T) {
+	n, _ := leading(active)
+	n.cfg.StateRPS, n.cfg.TxnOps, n.cfg.Sockets = 2000, 16, 15_000
+	for i := range 2000 {
+		n.Request(n.now, uint64(i+1), "GET", fmt.Sprintf("%s/run-%06d", protocol.PathJobs, i), nil)
+	}
+	if n.bounds.total[boundWaiting] != 0 || n.admission.waiting != 2000 {
+		t.Errorf("%d wait, %d were refused", n.admission.waiting, n.bounds.total[boundWaiting])
+	}
+	n.cfg.StateRPS, n.cfg.Sockets = 120, 900
+	if most := n.maxWaiting(); most < minWaiting || most > 450 {
+		t.Errorf("a small controller lets %d wait", most)
+	}
+}
+
+// A check of polls fits a transaction's 64 KiB however many changes one takes.
+func TestChecksFitTransactions(t *testing.T) {
+	n, _ := leading(active)
+	n.cfg.StateRPS, n.cfg.TxnOps, n.cfg.Sockets = 2000, 4096, 15_000
+	for i := range 5000 {
+		n.admission.polls = append(n.admission.polls, poll{uint64(i), fmt.Sprintf("run-%018d", i)})
+	}
+	n.checkPolls()
+	for _, c := range n.take().Calls {
+		if len(c.Body) > protocol.MaxBody {
+			t.Errorf("%s %s: %d bytes", c.Method, c.Target, len(c.Body))
+		}
+	}
+}
+
+// Thousands of reports that are held are all answered, in the time that they are held for.
+func TestManyHeldReports(t *testing.T) {
+	n, _ := leading(active)
+	n.lead = nil
+	n.cfg.Sockets = 12_000
+	const reports = 6000
+	for i := range reports {
+		n.now = n.now.Add(100 * time.Microsecond)
+		n.holdForLeader(uint64(i+1), nil)
+	}
+	if e := n.holdOne(reports + 1); len(e) != 1 || n.bounds.total[boundHeld] != 1 {
+		t.Errorf("one beyond the bound: %d answers", len(e))
+	}
+	answered := 0
+	for end := n.now.Add(holdReport); !n.now.After(end); n.now = n.now.Add(20 * time.Millisecond) {
+		answered += len(n.Tick(n.now).Replies)
+	}
+	if answered != reports {
+		t.Errorf("%d of %d were answered", answered, reports)
+	}
+}
+
+// holdOne holds a report and gives what is answered at once.
+func (n *Node) holdOne(id uint64) []Reply {
+	n.out = Effects{}
+	n.holdForLeader(id, nil)
+	return n.take().Replies
+}
+
+// A leader renews its lease between the records of a large fleet: taken in one step, they
+// kept a small share of a processor from it for longer than the lease.
+func TestRecordsAreTakenInSteps(t *testing.T) {
+	n, l := leading(loading)
+	r := fleetRecords(1000)
+	var machines, chunks []protocol.Item
+	for key, it := range r.items {
+		switch {
+		case strings.HasPrefix(key, bookkeeping.PrefixChunks):
+			chunks = append(chunks, it)
+		case strings.HasPrefix(key, bookkeeping.PrefixMachines):
+			machines = append(machines, it)
+		default:
+			l.jobKey(key, it.Value, false)
+		}
+	}
+	l.takeRecords(machines, chunks)
+	steps := 1
+	for l.phase == loading && steps < 1000 {
+		n.Tick(n.now.Add(chunksPause))
+		steps++
+	}
+	if steps < 5 || l.phase != settling {
+		t.Errorf("%d records in %d steps, phase %d", len(chunks), steps, l.phase)
+	}
+}
+
+// A fleet that outgrows its controller's sockets grows step by step, each one after the one
+// before is up, and not while timers are late. Thousands of machines were rented at once
+// before the first of them had shown what it costs to serve it.
+func TestCarefulGrowthBeyondSockets(t *testing.T) {
+	n, l := largeLead(600, 4000)
+	n.cfg.Sockets = 900
+	for _, j := range l.order {
+		l.fleet.unmet = append(l.fleet.unmet, demand{j, j.toStart()})
+	}
+	rented := func() (count int) {
+		l.fleet.budget = bookkeeping.NewBudget(1000, 1000, n.now)
+		clear(l.fleet.renting)
+		n.out = Effects{}
+		l.grow()
+		for _, c := range n.take().Calls {
+			if c.To == Cloud {
+				r, err := protocol.ParseRent(c.Body)
+				if err != nil {
+					t.Fatal(err)
+				}
+				count += r.Count
+			}
+		}
+		return count
+	}
+	boot := func(count int, up bool) {
+		for range count {
+			m := l.newMachine(fmt.Sprintf("vm-b%06d", len(l.fleetList)), "small", "a", false)
+			m.up, m.recorded, m.heard, m.answered, m.reached = up, true, n.now, n.now, n.now
+		}
+	}
+	first := rented()
+	boot(first, false)
+	if got := rented(); first == 0 || first > 100 || got > protocol.MaxRent {
+		t.Errorf("%d rented, and %d more before they were up", first, got)
+	}
+	for _, m := range l.fleetList {
+		m.up = true
+	}
+	if got := rented(); got < 50 || got > 100 {
+		t.Errorf("%d rented once they were up", got)
+	}
+	n.behindAt = n.now.Add(-time.Second)
+	if got := rented(); got != 0 || n.bounds.total[boundServed] == 0 {
+		t.Errorf("%d rented while timers are late", got)
+	}
+	n.cfg.Sockets = 15_000
+	if got := rented(); got != rentAtOnce {
+		t.Errorf("%d rented within the sockets", got)
+	}
+}
+
+// A process that is late for seconds on end rents nothing, whatever its sockets.
+func TestStrainedProcessRentsNothing(t *testing.T) {
+	n, l := leading(active)
+	start := n.now
+	for i := range 20 {
+		n.after(0, func() {})
+		n.Tick(start.Add(time.Duration(i)*500*time.Millisecond + lagLate + time.Millisecond))
+	}
+	if !n.strained() || l.mayGrow() {
+		t.Errorf("strained: %t", n.strained())
+	}
+	n.now = n.now.Add(lateGap + time.Second)
+	if n.strained() {
+		t.Error("strained after it kept up")
+	}
+}
+
+// What a look at the fleet costs grows with the fleet, not with its square: the search for
+// where replicas could move to, and for room in machines that boot.
+func TestLooksGrowWithTheFleet(t *testing.T) {
+	const machines, perMachine, perBin = 2000, 20, 60
+	l := loneReplicas(machines)
+	v := l.newMoves()
+	for _, m := range l.fleetList {
+		v.take(m)
+	}
+	if v.looked > perMachine*machines {
+		t.Errorf("%d machines were looked at for the replicas of %d", v.looked, machines)
+	}
+	l = bootingFleet(machines)
+	g := l.newGrowth()
+	g.most = rentAtOnce
+	for _, d := range l.fleet.unmet {
+		g.serve(d)
+	}
+	if g.looked > perBin*machines {
+		t.Errorf("%d bins were looked at in a fleet of %d", g.looked, machines)
+	}
+}
+
+// The adoption of a fleet is told of in a few lines.
+func TestBurstsOfLinesAreCounted(t *testing.T) {
+	n, l := leading(active)
+	var out bytes.Buffer
+	n.log = slog.New(slog.NewTextHandler(&out, nil))
+	for i := range 4000 {
+		l.adopt(fmt.Sprintf("vm-%06d", i), "small", "a", false, 0)
+	}
+	n.now = n.now.Add(2 * time.Second)
+	n.tellBursts()
+	if lines := strings.Count(out.String(), "\n"); lines > linesAtOnceLogged+1 || !strings.Contains(out.String(), "count=3980") {
+		t.Errorf("%d lines", lines)
+	}
+}
+
+// Bounds are told once in a while, with what is done.
+func TestBoundsAreTold(t *testing.T) {
+	n, _ := leading(active)
+	var out bytes.Buffer
+	n.log = slog.New(slog.NewTextHandler(&out, nil))
+	for range 100 {
+		n.bounds.hit(boundShed)
+		n.bounds.tell(n.log, n.now)
+	}
+	n.bounds.tell(n.log, n.now.Add(boundsEvery))
+	if lines := strings.Count(out.String(), "\n"); lines != 2 || !strings.Contains(out.String(), "times=99 inAll=100") {
+		t.Errorf("%d lines: %s", lines, out.String())
+	}
+	for b := range boundCount {
+		if b.String() == "" || b.consequence() == "" {
+			t.Errorf("bound %d has no name or consequence", b)
+		}
+	}
+}
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -32,15 +32,37 @@
 	})
 }
 
+// chunksAtOnce is how many chunk records are taken in one step. Those of a fleet of
+// thousands of machines hold tens of thousands of attempts: taken at once, they kept a
+// leader on a small share of a processor from renewing its lease in time.
+const chunksAtOnce = 32
+
+// chunksPause is between two such steps: whatever is due has its turn.
+const chunksPause = time.Millisecond
+
 // takeRecords takes what was read: attempts belong to jobs and machines.
 func (l *lead) takeRecords(machines, chunks []protocol.Item) {
 	for _, it := range machines {
 		l.loadGroup(it)
 	}
-	for _, it := range chunks {
+	l.takeChunks(chunks)
+}
+
+// takeChunks takes chunk records, some of them in each step, and then goes on.
+func (l *lead) takeChunks(chunks []protocol.Item) {
+	now := min(chunksAtOnce, len(chunks))
+	for _, it := range chunks[:now] {
 		l.loadChunk(it)
 	}
-	l.settle()
+	if now == len(chunks) {
+		l.settle()
+		return
+	}
+	l.n.after(chunksPause, func() {
+		if l.alive() {
+			l.takeChunks(chunks[now:])
+		}
+	})
 }
 
 func (l *lead) settle() {
--- a/internal/coordination/load_jobs.go
+++ b/internal/coordination/load_jobs.go
@@ -45,7 +45,7 @@
 
 // checkOutcomes learns which of the jobs are over.
 func (o *owner) checkOutcomes(ids []string, done func()) {
-	batches := slices.Collect(slices.Chunk(ids, 4*o.n.cfg.TxnOps))
+	batches := slices.Collect(slices.Chunk(ids, o.n.maxConditions()))
 	left := len(batches)
 	if left == 0 {
 		done()
--- a/internal/coordination/load_jobs_test.go
+++ b/internal/coordination/load_jobs_test.go
@@ -89,6 +89,10 @@
 			calls = append(calls, n.Result(n.now, c.ID, Outcome{Answered: true, Status: status, Body: body}).Calls...)
 		}
 	}
+	// Records are taken in steps with pauses between.
+	for n.lead.phase == loading && !n.Next().After(n.now.Add(chunksPause)) {
+		n.Tick(n.now.Add(chunksPause))
+	}
 	return n.lead
 }
 
@@ -140,34 +144,3 @@
 		t.Errorf("answered: %+v", e.Replies)
 	}
 }
-
-// BenchmarkLoad reads the records of a fleet with running tasks.
-func BenchmarkLoad(b *testing.B) {
-	r := &fakeStore{items: map[string]protocol.Item{}}
-	for g := range 5 {
-		group := bookkeeping.Machines{Type: "small", Zone: "a"}
-		for i := range 48 {
-			group.Machines = append(group.Machines, bookkeeping.Machine{Name: fmt.Sprintf("vm-%06d", g*48+i), Addr: "10.1.0.1:9000"})
-		}
-		r.put(bookkeeping.KeyMachines(0, 1, uint64(g+1)), group)
-	}
-	for i := range 150 {
-		job := benchJob(i)
-		r.put(bookkeeping.KeyActive(job.ID), bookkeeping.Job{Chunk: 96, Spec: job})
-		chunk := bookkeeping.Chunk{}
-		for task := range min(24, job.Tasks) {
-			machine := fmt.Sprintf("vm-%06d", (i*24+task)%240)
-			chunk.Tasks = append(chunk.Tasks, bookkeeping.TaskRecord{Offset: task, Attempt: 1, Machine: machine})
-		}
-		r.put(bookkeeping.KeyChunk(job.ID, 0), chunk)
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		b.StopTimer()
-		n, _ := leading(active)
-		b.StartTimer()
-		if l := r.lead(n); l.phase != settling {
-			b.Fatal("not loaded")
-		}
-	}
-}
--- a/internal/coordination/overload_test.go
+++ b/internal/coordination/overload_test.go
@@ -37,14 +37,17 @@
 	}
 }
 
+// overloadMachines is the fleet of these tests.
+const overloadMachines = 1600
+
 // A fleet of silent machines is asked in parts, and all of it within the time that a
 // new leader waits for reports.
 func TestProbesArePaced(t *testing.T) {
-	_, l := largeLead(0)
+	_, l := largeLead(overloadMachines, 0)
 	for turn := range 1 + probesShare {
 		before := len(l.n.out.Calls)
 		l.probeSome(l.fleetList)
-		if asked := len(l.n.out.Calls) - before; asked > benchMachines/probesShare {
+		if asked := len(l.n.out.Calls) - before; asked > overloadMachines/probesShare {
 			t.Fatalf("turn %d: %d machines asked at once", turn, asked)
 		}
 	}
@@ -72,7 +75,7 @@
 
 // One job of the largest size takes neither the memory nor the time of the others.
 func TestHugeJob(t *testing.T) {
-	_, l := largeLead(20)
+	_, l := largeLead(overloadMachines, 20)
 	huge := benchJob(2)
 	huge.ID, huge.Tasks = "run-999999", protocol.MaxTasks
 	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(l.n.now.Add(-time.Second)), Chunk: 96, Spec: huge})
@@ -105,7 +108,7 @@
 // work that gives way, rounds took seconds and leaders lost their leases to them,
 // one after the other.
 func TestRoundIsBounded(t *testing.T) {
-	n, l := largeLead(0)
+	n, l := largeLead(overloadMachines, 0)
 	add := func(from, count int, change func(j *protocol.Job)) {
 		for i := from; i < from+count; i++ {
 			j := benchJob(2)
@@ -120,7 +123,7 @@
 	for _, m := range l.fleetList {
 		used += m.cpus
 	}
-	if used < benchMachines*16 {
+	if used < overloadMachines*16 {
 		t.Fatalf("%g CPUs in use: the fleet isn't full", used)
 	}
 	add(1000, 400, func(j *protocol.Job) { j.Tasks = 40 })
@@ -149,7 +152,7 @@
 // nothing. Every machine was looked at for each of them in every round, which took
 // most of a leader's processor time where the cloud offers one zone of two.
 func TestClosedZonesCostNothing(t *testing.T) {
-	n, l := largeLead(0)
+	n, l := largeLead(overloadMachines, 0)
 	for i := range 100 {
 		j := benchJob(0)
 		j.ID, j.Tasks, j.Spread = fmt.Sprintf("run-%06d", i), 6, true
@@ -164,7 +167,7 @@
 		t.Fatalf("%d replicas wait, want half of 600", waiting)
 	}
 	l.place()
-	if most := 2 * benchMachines; l.work > most {
+	if most := 2 * overloadMachines; l.work > most {
 		t.Errorf("a round looked at %d machines, more than %d", l.work, most)
 	}
 }
--- a/internal/coordination/polls.go
+++ b/internal/coordination/polls.go
@@ -69,7 +69,7 @@
 	count := 0
 	for _, p := range a.polls {
 		if !listed[p.job] {
-			if len(t.If)+2 > 4*n.cfg.TxnOps {
+			if len(t.If)+2 > n.maxConditions() {
 				break
 			}
 			listed[p.job] = true
--- a/internal/coordination/probes.go
+++ b/internal/coordination/probes.go
@@ -135,13 +135,10 @@
 		return
 	}
 	m.probing = true
-	session, sent := m.session, o.n.now
+	session := m.session
 	o.n.call(Worker, m.addr, "GET", protocol.PathShow, nil, probeTimeout, func(out Outcome) {
 		if o.alive() {
 			m.probing = false
-			if !out.Answered && o.n.lateAt.After(sent) {
-				return // its answer may have come while this process was late
-			}
 			o.probeAnswered(m, session, out)
 		}
 	})
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -25,6 +25,7 @@
 	want := l.headroom(used)
 	fixedNeed := l.fixedNeed()
 	var candidates []*machine
+	moves := l.newMoves()
 	for _, m := range append([]*machine(nil), l.fleetList...) {
 		if m.releasing {
 			continue
@@ -40,8 +41,8 @@
 		case m.emptying && len(m.attempts) == 0 && age > minimumCharge && n.now.Sub(m.emptySince) > n.op.Idle():
 			l.release(m, "not needed")
 		case m.emptying && l.sendGuestsOff(m):
-		case m.emptying && m.onlyServices() && !l.canMove(m, map[*machine]room{}):
-			m.emptying = false // it stays for its replicas, so others may use it, too
+		case m.emptying && m.onlyServices() && !moves.possible(m):
+			moves.stays(m) // for its replicas, so others may use it, too
 		case m.up && m.recorded && m.spec != nil && !m.draining && !m.emptying && m.noticeAt.IsZero():
 			candidates = append(candidates, m)
 		}
@@ -52,14 +53,13 @@
 	// Tasks spread over all machines: waiting for one to be empty by chance
 	// would keep them all.
 	dearestFirst(candidates)
-	taken := map[*machine]room{}
 	for _, m := range candidates {
 		room := l.fixedRoom(m)
 		if free-(m.spec.CPUs-m.cpus) < want+m.cpus || room > 0 && fixedRoom-room < fixedNeed {
 			continue
 		}
 		// Replicas would hold it for long, unless they can go elsewhere.
-		if m.services > 0 && (m.services > m.spec.CPUs/2+protocol.Epsilon || !l.canMove(m, taken)) {
+		if m.services > 0 && (m.services > m.spec.CPUs/2+protocol.Epsilon || !moves.take(m)) {
 			continue
 		}
 		free -= m.spec.CPUs - m.cpus
@@ -99,101 +99,6 @@
 	return 0
 }
 
-// movesAtOnce is the part of the fleet whose replicas are moved in one turn, as a
-// divisor.
-const movesAtOnce = 30
-
-// consolidate moves the replicas of little used machines to others that hold
-// their images, where all of them find room, so that these can be returned.
-// Services stay for long, and what they were spread over when the cluster was
-// busy would stay with them. A move takes a moment: the image is there.
-func (l *lead) consolidate() {
-	n := l.n
-	if len(l.fleet.unmet) > 0 || l.fleet.partly || n.storeDown() || n.now.Sub(l.fleet.movedAt) < movePause {
-		return
-	}
-	fixedRoom := 0.0
-	var candidates []*machine
-	for _, m := range l.fleetList {
-		if !l.open(m) {
-			continue
-		}
-		if !m.emptying {
-			fixedRoom += l.fixedRoom(m)
-		}
-		if m.onlyServices() && (m.emptying || m.cpus <= m.spec.CPUs/2+protocol.Epsilon) && n.now.Sub(m.rented) > 2*minimumCharge {
-			candidates = append(candidates, m)
-		}
-	}
-	dearestFirst(candidates)
-	left := max(1, len(l.fleetList)/movesAtOnce)
-	taken := map[*machine]room{}
-	for _, m := range candidates {
-		if left == 0 {
-			return
-		}
-		if _, target := taken[m]; target {
-			continue
-		}
-		if room := l.fixedRoom(m); !m.emptying && room > 0 && fixedRoom-m.spec.CPUs < l.fixedNeed() {
-			continue
-		}
-		if !l.canMove(m, taken) {
-			continue
-		}
-		n.logEach("moving replicas", "machine", m.name, "attempts", len(m.attempts))
-		if !m.emptying {
-			fixedRoom -= l.fixedRoom(m)
-		}
-		l.fleet.movedAt = n.now
-		m.emptying = true
-		left--
-		for _, a := range m.sorted() {
-			l.stopAttempt(a, 0)
-		}
-	}
-}
-
-// room is what a machine gives to replicas that are to move there.
-type room struct{ cpus, gpus, mem float64 }
-
-// canMove reports whether each replica on a machine runs and finds room and its
-// image elsewhere, beside what is taken already, and takes that room if so.
-func (l *lead) canMove(m *machine, taken map[*machine]room) bool {
-	plan := map[*machine]room{}
-	for _, a := range m.sorted() {
-		j := a.job
-		if j.Kind != protocol.Service {
-			continue
-		}
-		if a.state != protocol.Running || a.stop || j.toStart() > 0 {
-			return false
-		}
-		found := false
-		for _, o := range l.fleetList {
-			t, planned := plan[o]
-			if !planned {
-				t = taken[o]
-			}
-			if o == m || o.emptying || !l.open(o) || !o.allowed(j.Job) || o.zone != m.zone || o.images.bytes(j.image) == 0 ||
-				o.cpus+t.cpus+j.CPUs > o.spec.CPUs+protocol.Epsilon || o.gpus+t.gpus+j.GPUs > o.spec.GPUs+protocol.Epsilon ||
-				o.mem+t.mem+j.MemGB > o.spec.MemGB+protocol.Epsilon {
-				continue
-			}
-			plan[o] = room{t.cpus + j.CPUs, t.gpus + j.GPUs, t.mem + j.MemGB}
-			found = true
-			break
-		}
-		if !found {
-			return false
-		}
-	}
-	for o, t := range plan {
-		taken[o] = t
-	}
-	return true
-}
-
 // fixedRoom is the room on an ordinary machine that work which may not use
 // spot machines can have, other work giving way.
 func (l *lead) fixedRoom(m *machine) float64 {
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -95,18 +95,7 @@
 		}
 		since = latest(since, heard)
 	}
-	return l.notHeard(latest(since, l.deaf)), true
-}
-
-// notHeard is since when a machine counts as silent that wasn't heard since then. What came
-// while this process was late may not have been read yet: silence counts from there, but for
-// no longer than a worker's lease, after which the machine's tasks are lost in any case.
-func (l *lead) notHeard(since time.Time) time.Time {
-	lateAt := l.n.lateAt
-	if most := since.Add(l.n.cfg.WorkerLease); lateAt.After(most) {
-		lateAt = most
-	}
-	return latest(since, lateAt)
+	return latest(since, l.deaf), true
 }
 
 func (s *survey) countInherited(m *machine) {
--- a/internal/coordination/store.go
+++ b/internal/coordination/store.go
@@ -157,6 +157,10 @@
 	txnUnknown           // may have been applied, or may yet be
 )
 
+// maxConditions is how many keys one transaction compares: what the state service takes, and
+// what its body holds.
+func (n *Node) maxConditions() int { return min(4*n.cfg.TxnOps, protocol.MaxConditions) }
+
 // storeTxn sends a transaction.
 func (n *Node) storeTxn(t *protocol.Txn, done func(r txnResult, revision uint64, failed []string)) {
 	n.store("POST", protocol.PathMulti, protocol.TxnBody(t), storeTimeout, func(o Outcome) {
--- a/internal/protocol/store.go
+++ b/internal/protocol/store.go
@@ -111,6 +111,13 @@
 	return items, *w.More, *w.Revision, nil
 }
 
+// MaxConditions is how many conditions fit a transaction that has nothing else, each about
+// a key as long as a job's.
+const MaxConditions = (MaxBody - envelopeBytes) / (len(`{"path":"","entry":18446744073709551615},`) + keyBytes)
+
+// keyBytes is more than a key about a job takes.
+const keyBytes = 48
+
 // TxnBody is the body of a transaction.
 func TxnBody(t *Txn) []byte {
 	if t.If == nil {
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -29,6 +29,7 @@
 	Machines int      // ordinary ones that run from the start, in zones in turn
 	Capacity int      // machines that can be rented per type, zone and kind
 	Fleet    bool     // limits, budgets and intervals of a fleet of a thousand machines
+	Limit    float64  // CPUs that each team may take; 0 for those of the settings above
 	// Cost is the processor time of each event on a node: what comes faster waits, and
 	// timers fire late, as on a small share of a processor.
 	Cost time.Duration
@@ -206,6 +207,11 @@
 		s.StateRPS, s.StateWriteRPS, s.TxnOps, s.ListLag = 400, 150, 16, 12*time.Second
 		s.CPUShare, s.MemoryBytes, s.Sockets = 0.3, 322<<20, 2900
 	}
+	for i := range c.settings.Teams[:2] {
+		if o.Limit > 0 {
+			c.settings.Teams[i].CPUsMax = o.Limit
+		}
+	}
 	c.state = newStateService(c)
 	c.cloud = newCloud(c, types(o.Zones), o.Capacity)
 	for i := range o.Machines {
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -24,6 +24,18 @@
 	})
 }
 
+// TestLongScenarios runs the files in testdata_long, which take minutes, if SCENARIO_LONG is
+// set.
+func TestLongScenarios(t *testing.T) {
+	if os.Getenv("SCENARIO_LONG") == "" {
+		t.Skip("set SCENARIO_LONG to run them")
+	}
+	datadriven.Walk(t, "testdata_long", func(t *testing.T, path string) {
+		r := &runner{t: t}
+		datadriven.RunTest(t, path, r.run)
+	})
+}
+
 type runner struct {
 	t *testing.T
 	c *Cluster
@@ -197,7 +209,7 @@
 		o := Options{Seed: uint64(number(t, d, "seed", "1")), Nodes: int(number(t, d, "nodes", "3")),
 			Machines: int(number(t, d, "machines", "4")), Capacity: int(number(t, d, "capacity", "20")),
 			Zones: strings.Split(arg(d, "zones", "a"), ","), Fleet: arg(d, "fleet", "") != "",
-			Cost: duration(t, d, arg(d, "cost", "0s"))}
+			Limit: number(t, d, "limit", "0"), Cost: duration(t, d, arg(d, "cost", "0s"))}
 		if os.Getenv("SCENARIO_LOG") != "" {
 			o.Log = os.Stderr
 		}
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -15,7 +15,6 @@
 // Limits of the streams between controllers.
 const (
 	peerPath     = "/peer/v1/events"
-	maxPeerLine  = 64 << 10
 	peerRetry    = time.Second
 	peerSilence  = 10 * time.Second
 	peerQueue    = 16
@@ -23,6 +22,9 @@
 	acceptRetry  = 100 * time.Millisecond
 )
 
+// MaxPeerLine is the length of the longest line that a stream takes.
+const MaxPeerLine = 64 << 10
+
 // Peers keeps one HTTP/2 stream to each other controller, on which that
 // controller tells its events, a line each. They are hints: a lost one is
 // made up for by the next.
@@ -182,7 +184,7 @@
 	}
 	defer resp.Body.Close()
 	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 4096), maxPeerLine)
+	lines.Buffer(make([]byte, 0, 4096), MaxPeerLine+1) // and its end
 	for lines.Scan() {
 		watchdog.Reset(peerSilence)
 		p.receive(append([]byte(nil), lines.Bytes()...))
