Growth beyond the sockets stops while timers are late, not behind

Need: on small shares timers are a little behind nearly always; a fleet of 650 machines then never grew.

--- a/internal/coordination/grow.go
+++ b/internal/coordination/grow.go
@@ -46,7 +46,7 @@
 	if l.phase != active || n.storeDown() || len(n.types) == 0 || !n.now.Before(l.right.validUntil) || f.partly {
 		return false
 	}
-	if n.strained() || l.beyondSockets() && n.now.Sub(n.behindAt) < carefulFor {
+	if n.strained() || l.beyondSockets() && n.now.Sub(n.lateAt) < carefulFor {
 		n.bounds.hit(boundServed)
 		return false
 	}
@@ -66,7 +66,7 @@
 // the leader has kept up with its timers.
 const (
 	carefulStep = 8 // part of the fleet that may boot, as a divisor
-	carefulFor  = 8 * time.Second
+	carefulFor  = 4 * time.Second
 )
 
 // beyondSockets reports whether there are more machines than sockets for their workers.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -93,11 +93,10 @@
 	rng  *rand.Rand
 	boot uint64
 
-	count    traffic
-	now      time.Time
-	lag      time.Duration // of the last timer, behind its time
-	lateAt   time.Time     // when that was last too much
-	behindAt time.Time     // when work that can wait was last put off for it
+	count  traffic
+	now    time.Time
+	lag    time.Duration // of the last timer, behind its time
+	lateAt time.Time     // when that was last too much
 	// lateSince is since when it has been too much again and again.
 	lateSince time.Time
 	out       Effects
@@ -210,9 +209,6 @@
 	if next := n.Next(); !next.IsZero() {
 		n.lag = max(0, now.Sub(next))
 		n.lagMost = max(n.lagMost, n.lag)
-		if n.behind() {
-			n.behindAt = now
-		}
 		if n.late() {
 			if now.Sub(n.lateAt) > lateGap {
 				n.lateSince = now
