Lines between leader and owners fit 64 KiB and wait for room; peers can be told by name

Need: a full account of a shard of hundreds of machines took many more lines than a stream keeps for a peer, so that most were lost, each time anew; a list of late workers could exceed a line. The core's lines to one peer were carried by nobody.

Change: what waits is cut into lines that fit, at most eight on their way without an acknowledgement; a status comes in parts. A stream names who reads it, and the process and the stand-in carry lines to one peer in order. An owner finds a job's tasks by the job. Growth is careful beyond what a share is likely to serve (reports at 100 microseconds), not beyond sockets.

--- a/cmd/brasskeel/control.go
+++ b/cmd/brasskeel/control.go
@@ -66,7 +66,7 @@
 	c.timer = time.AfterFunc(time.Hour, func() { c.loop.Post(c.tick) })
 	c.timer.Stop()
 	var err error
-	c.peers, err = transport.NewPeers(cfg.PeerListen, addrs, func(line []byte) {
+	c.peers, err = transport.NewPeers(cfg.PeerListen, cfg.Name, addrs, func(line []byte) {
 		<-c.ready
 		c.loop.Post(func() { c.apply(c.node.Peer(time.Now(), line)) })
 	}, log)
@@ -97,6 +97,15 @@
 	return limit.Cur, true
 }
 
+// processorTime is how much processor time the process has used; 0 where that isn't told.
+func processorTime() time.Duration {
+	var use unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &use); err != nil {
+		return 0
+	}
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
+
 // Ready implements transport.Handler.
 func (c *control) Ready() {
 	c.apply(c.node.Start(time.Now()))
@@ -136,7 +145,12 @@
 	for i := range e.Publishes {
 		c.peers.Publish(e.Publishes[i].Body)
 	}
+	for i := range e.Sends {
+		c.peers.Send(e.Sends[i].To, e.Sends[i].Body)
+	}
 	if len(e.Publishes) > 0 { // once a second
+		c.node.Processor(time.Now(), processorTime())
+		c.node.PeerLinesLost(c.peers.Dropped())
 		k := c.loop.Counts()
 		c.node.Sockets(k.Crowded, k.Shed, k.Busy)
 	}
--- a/internal/coordination/bounds.go
+++ b/internal/coordination/bounds.go
@@ -29,6 +29,7 @@
 	boundCrowded                // sockets: answers that ended their connection
 	boundShed                   // sockets: connections closed to make room
 	boundNoSockets              // sockets: calls given up while they waited for one
+	boundLost                   // lines that a peer was too slow for
 	boundServed                 // machines that this controller can serve on its share
 	boundCount
 )
@@ -41,6 +42,7 @@
 		boundList: "machines listed", boundFence: "raised tokens", boundTypes: "record of machine types",
 		boundLine: "line to a peer", boundCrowded: "sockets, answers that closed", boundShed: "sockets, connections shed",
 		boundNoSockets: "sockets, calls without one", boundServed: "machines served on this share",
+		boundLost: "lines to a slow peer",
 	}[b]
 }
 
@@ -54,7 +56,8 @@
 		boundTasks: "others are placed elsewhere", boundList: "the list is not compared",
 		boundFence: "only calls show whether the worker is reached", boundTypes: "other controllers ask the cloud for them",
 		boundLine: "the line is dropped", boundCrowded: "clients dial again", boundShed: "clients dial again",
-		boundNoSockets: "they are tried again", boundServed: "fewer machines are rented, none while timers are late",
+		boundNoSockets: "they are tried again", boundLost: "the peer misses them",
+		boundServed: "fewer machines are rented, none while timers are late",
 	}[b]
 }
 
@@ -97,6 +100,9 @@
 	n.bounds.hits(boundNoSockets, busy)
 }
 
+// PeerLinesLost tells how many lines peers missed since it was last told.
+func (n *Node) PeerLinesLost(lines int) { n.bounds.hits(boundLost, lines) }
+
 // maxWaiting bounds the requests that wait for the state service. A check of polls serves
 // half as many questions as a transaction has conditions, so those that wait are answered
 // within about a second; half of the sockets are left for workers in any case.
--- a/internal/coordination/grow.go
+++ b/internal/coordination/grow.go
@@ -46,7 +46,7 @@
 	if l.phase != active || n.storeDown() || len(n.types) == 0 || !n.now.Before(l.right.validUntil) || f.partly {
 		return false
 	}
-	if n.strained() || l.beyondSockets() && n.now.Sub(n.lateAt) < carefulFor {
+	if n.strained() || len(l.fleetList) > l.likelyFleet() && n.now.Sub(n.lateAt) < carefulFor {
 		n.bounds.hit(boundServed)
 		return false
 	}
@@ -58,32 +58,35 @@
 	return true
 }
 
-// Operators size a controller's sockets for its fleet, with one for each worker. A fleet that
-// outgrows them may outgrow its leader's share of a processor as well, and that shows only
-// when machines are up: thousands rented at once, while the first of them booted, left a
-// leader that was so late that users were not answered any more. So beyond that size the
-// fleet grows by steps of a part of it, each one after the one before is up, and only while
-// the leader has kept up with its timers.
+// Thousands of machines rented at once, while the first of them booted, left a leader on a
+// small share of a processor so late that it answered neither workers nor users any more: what
+// a fleet costs shows only when its machines are up. So beyond what its share is likely to
+// serve, a fleet grows by steps of a part of it, each one after the one before is up, and only
+// while the leader keeps up with its timers.
 const (
+	// reportCost is about what a report costs a controller, all that comes with it included,
+	// on an ordinary core: with 86 microseconds measured (docs/MEASUREMENTS.md).
+	reportCost  = 100 * time.Microsecond
 	carefulStep = 8 // part of the fleet that may boot, as a divisor
 	carefulFor  = 4 * time.Second
 )
 
-// beyondSockets reports whether there are more machines than sockets for their workers.
-func (l *lead) beyondSockets() bool { return len(l.fleetList) > l.socketFleet() }
-
-// socketFleet is how many machines have a socket each.
-func (l *lead) socketFleet() int { return l.n.cfg.Sockets * socketsOfWorkers / 100 }
-
-// socketsOfWorkers is the part of all sockets that workers may hold for long, in percent.
-const socketsOfWorkers = 70
+// likelyFleet is how many machines are likely to be served in time.
+func (l *lead) likelyFleet() int {
+	c := l.n.cfg
+	each := c.CPUShare * float64(c.ReportInterval) / float64(reportCost)
+	if l.shards != nil {
+		each *= float64(1 + len(c.Peers)) // all controllers answer reports
+	}
+	return int(min(each, 1e9))
+}
 
 // rentable is how many machines may be rented in one turn.
 func (g *growth) rentable() int {
 	l := g.l
 	fleet := len(l.fleetList)
 	step := max(protocol.MaxRent, fleet/carefulStep) - len(g.bins)
-	return max(0, min(rentAtOnce, max(l.socketFleet()-fleet, step)))
+	return max(0, min(rentAtOnce, max(l.likelyFleet()-fleet, step)))
 }
 
 // grow rents what the waiting work and the headroom need beyond what boots.
@@ -262,7 +265,7 @@
 		return
 	}
 	for cheapest := g.offers[0]; free < want-protocol.Epsilon; {
-		if len(g.bins) > max(rentAtOnce, len(l.fleetList)) || l.beyondSockets() && g.rented >= g.most {
+		if len(g.bins) > max(rentAtOnce, len(l.fleetList)) || g.rented >= g.most && len(l.fleetList) > l.likelyFleet() {
 			return
 		}
 		free += g.rent(cheapest).cpus
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -95,6 +95,9 @@
 	image     int32
 
 	progressTold bool // peers were told of tasks that run or are done
+
+	// held are the attempts that a shard's owner holds; a leader has them in chunks.
+	held map[*attempt]struct{}
 }
 
 // chunk is a run of a job's tasks that share a record.
--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -362,12 +362,12 @@
 	}
 }
 
-// A fleet that outgrows its controller's sockets grows step by step, each one after the one
+// A fleet that outgrows its controller's share grows step by step, each one after the one
 // before is up, and not while timers are late. Thousands of machines were rented at once
 // before the first of them had shown what it costs to serve it.
-func TestCarefulGrowthBeyondSockets(t *testing.T) {
+func TestCarefulGrowthBeyondShare(t *testing.T) {
 	n, l := largeLead(600, 4000)
-	n.cfg.Sockets = 900
+	n.cfg.CPUShare = 0.025
 	for _, j := range l.order {
 		l.fleet.unmet = append(l.fleet.unmet, demand{j, j.toStart()})
 	}
@@ -408,9 +408,9 @@
 	if got := rented(); got != 0 || n.bounds.total[boundServed] == 0 {
 		t.Errorf("%d rented while timers are late", got)
 	}
-	n.cfg.Sockets = 15_000
+	n.cfg.CPUShare = 0.8
 	if got := rented(); got != rentAtOnce {
-		t.Errorf("%d rented within the sockets", got)
+		t.Errorf("%d rented within the share", got)
 	}
 }
 
--- a/internal/coordination/shard/link.go
+++ b/internal/coordination/shard/link.go
@@ -27,6 +27,11 @@
 	againPatience = 500 * time.Millisecond
 )
 
+// linesInFlight is how many lines may be on their way without an acknowledgement: fewer than
+// a stream keeps for a peer that reads slowly. A full account of a large shard takes many more
+// lines than that; sent at once, most of them were lost, each time it was asked for again.
+const linesInFlight = 8
+
 // Link numbers the lines of one side and notices lost ones. Lines come in order, but some
 // may be missing: then the other side is asked for a full account. Nothing is repeated
 // otherwise.
@@ -52,6 +57,9 @@
 // NeedsReset reports whether the next line has to begin a full account.
 func (l *Link) NeedsReset() bool { return l.reset }
 
+// Full reports whether so many lines are on their way that others have to wait.
+func (l *Link) Full() bool { return l.sent-l.acked >= linesInFlight && !l.reset }
+
 // AckDue reports whether lines were taken that the other side doesn't know to have arrived.
 func (l *Link) AckDue() bool { return l.ackDue }
 
--- a/internal/coordination/shard/messages.go
+++ b/internal/coordination/shard/messages.go
@@ -107,8 +107,10 @@
 	Status *Status `json:"l,omitempty"`
 }
 
-// Status is how an owner and its workers are.
+// Status is how an owner and its workers are. One with many late workers comes in parts.
 type Status struct {
 	Load Load   `json:"l"`
 	Late []Late `json:"s,omitempty"`
+	Part int    `json:"p,omitempty"` // from 0
+	More bool   `json:"o,omitempty"` // another part follows
 }
--- a/internal/coordination/shard_feed.go
+++ b/internal/coordination/shard_feed.go
@@ -11,7 +11,7 @@
 	// lineEvery is the least time between lines to one side: what happens meanwhile shares
 	// one, since each line costs both sides some wake-ups.
 	lineEvery = 25 * time.Millisecond
-	// lineItems bounds what one line holds, so that it fits the stream's 64 KiB.
+	// lineItems is about how many workers and states are gathered for one line at a time.
 	lineItems = 400
 	// exitKept is how long an exit is remembered after the leader let it be forgotten.
 	exitKept = 30 * time.Second
@@ -24,7 +24,9 @@
 	leader  string
 	line    shard.Observations // that is being filled
 	workers map[*machine]bool  // to be told in it
+	full    map[*machine]bool  // of them, those whose tasks' states are to be told, too
 	due     bool               // a line waits for its time
+	blocked bool               // more waits until lines are acknowledged
 	sentAt  time.Time
 }
 
@@ -71,55 +73,78 @@
 	})
 }
 
-// flush sends what there is to tell, and the full account if the leader lacks it.
+// flush sends what there is to tell, as far as lines may be on their way, and begins a full
+// account if the leader lacks it.
 func (f *ownerFeed) flush() {
 	if f.link == nil {
 		f.line, f.workers = shard.Observations{}, map[*machine]bool{} // a full account will come
 		return
 	}
 	if f.link.NeedsReset() {
-		f.account()
-		return
+		f.beginAccount()
+	}
+	first := true
+	for ; !f.link.Full() && (first || !f.line.Empty() || len(f.workers) > 0); first = false {
+		if len(f.line.Workers)+len(f.line.States) == 0 {
+			f.addWorkers()
+		}
+		f.send(f.line.Cut(lineRoom))
 	}
-	f.addWorkers()
-	f.send()
+	f.blocked = !f.line.Empty() || len(f.workers) > 0
 }
 
-// account tells all that is known of the workers.
-func (f *ownerFeed) account() {
-	f.line, f.workers = shard.Observations{Status: f.line.Status}, map[*machine]bool{}
-	items := 0
+// beginAccount wants all told that is known of the workers.
+func (f *ownerFeed) beginAccount() {
+	f.line, f.workers, f.full = shard.Observations{Status: f.line.Status}, map[*machine]bool{}, map[*machine]bool{}
+	if f.line.Status != nil && f.line.Status.Part > 0 {
+		f.line.Status = nil // half of it was told: the next one comes within a second
+	}
 	for _, m := range f.o.fleetList {
-		f.line.Workers = append(f.line.Workers, f.worker(m))
-		items++
-		for _, a := range m.sorted() {
-			if a.state != 0 {
-				f.line.States = append(f.line.States, shard.State{Task: attemptTask(a), State: a.state})
-				items++
-			}
-		}
+		f.workers[m], f.full[m] = true, true
 		for _, k := range m.exits {
 			k.at = time.Time{} // the next report brings it
 		}
 		clear(m.strays)
-		if items >= lineItems {
-			f.send()
-			items = 0
-		}
 	}
-	f.send()
 }
 
+// addWorkers adds workers that are to be told of, about as many as a line holds, and in a full
+// account the states of their tasks.
 func (f *ownerFeed) addWorkers() {
 	if len(f.workers) == 0 {
 		return
 	}
+	items := 0
 	for _, m := range f.o.fleetList {
-		if f.workers[m] {
-			f.line.Workers = append(f.line.Workers, f.worker(m))
+		if !f.workers[m] {
+			continue
+		}
+		if items >= lineItems {
+			return
+		}
+		delete(f.workers, m)
+		f.line.Workers = append(f.line.Workers, f.worker(m))
+		items++
+		if f.full[m] {
+			delete(f.full, m)
+			items += f.addStates(m)
+		}
+		if len(f.workers) == 0 {
+			return
 		}
 	}
-	clear(f.workers)
+	clear(f.workers) // of machines that are gone
+	clear(f.full)
+}
+
+func (f *ownerFeed) addStates(m *machine) (count int) {
+	for _, a := range m.sorted() {
+		if a.state != 0 {
+			f.line.States = append(f.line.States, shard.State{Task: attemptTask(a), State: a.state})
+			count++
+		}
+	}
+	return count
 }
 
 func (f *ownerFeed) worker(m *machine) shard.Worker {
@@ -133,14 +158,12 @@
 	return w
 }
 
-// send sends the line, with all that a step has added to it.
-func (f *ownerFeed) send() {
+// send sends a line.
+func (f *ownerFeed) send(line shard.Observations) {
 	n := f.o.n
-	f.line.Header = f.link.Next(n.now, true)
-	f.line.Grants = f.o.grants()
+	line.Header = f.link.Next(n.now, true)
+	line.Grants = f.o.grants()
 	f.sentAt = n.now
-	line := f.line
-	f.line = shard.Observations{}
 	n.sendShardLine(f.leader, shardLine{Observations: &line})
 }
 
@@ -183,7 +206,7 @@
 	for _, name := range in.Gone {
 		f.o.forgetMachine(name)
 	}
-	if f.link.AckDue() {
+	if f.link.AckDue() || f.blocked && !f.link.Full() {
 		f.soon()
 	}
 }
@@ -284,7 +307,9 @@
 		}
 		o.sweepExits(m)
 	}
-	f.line.Status = s
+	if f.line.Status == nil || f.line.Status.Part == 0 { // else the last one isn't told yet
+		f.line.Status = s
+	}
 	f.flush()
 }
 
--- a/internal/coordination/shard_leader.go
+++ b/internal/coordination/shard_leader.go
@@ -33,10 +33,13 @@
 	listed map[*machine]bool   // machines whose complete lists are to be told in it
 	told   map[shard.ID]uint64 // shards whose machines were told, and under which term
 	due    bool
-	sentAt time.Time
-	heard  time.Time // when it last told something
-	status shard.Status
-	blind  bool // it doesn't reach most of its workers
+	// blocked says that more waits to be told until lines are acknowledged.
+	blocked bool
+	sentAt  time.Time
+	heard   time.Time // when it last told something
+	status  shard.Status
+	late    map[string]*shard.Late // of the parts of a status that came so far
+	blind   bool                   // it doesn't reach most of its workers
 }
 
 // ownerQuiet is after how long without a line an owner's word on its workers counts for
@@ -181,43 +184,73 @@
 	})
 }
 
-// flush sends what there is to tell an owner.
+// flush sends what there is to tell an owner, as far as lines may be on their way.
 func (sl *shardLeader) flush(k *ownerLink) {
 	if sl.l.phase == loading {
 		return
 	}
 	if k.link.NeedsReset() {
-		k.line, k.listed = shard.Instructions{}, map[*machine]bool{}
-		for _, m := range sl.l.fleetList {
-			if k.told[m.shard] != 0 && m.served() {
-				k.listed[m] = true
-			}
+		sl.beginAccount(k)
+	}
+	first := true
+	for ; !k.link.Full() && (first || !k.line.Empty() || len(k.listed) > 0); first = false {
+		line, room := k.line.Cut(lineRoom)
+		if k.line.Empty() && len(k.listed) > 0 {
+			line.Machines = append(line.Machines, sl.nextMachines(k, room)...)
 		}
+		sl.send(k, line)
 	}
-	items := 0
+	k.blocked = !k.line.Empty() || len(k.listed) > 0
+}
+
+// beginAccount wants all machines told of that an owner serves.
+func (sl *shardLeader) beginAccount(k *ownerLink) {
+	k.line, k.listed = shard.Instructions{}, map[*machine]bool{}
+	for _, m := range sl.l.fleetList {
+		if k.told[m.shard] != 0 && m.served() {
+			k.listed[m] = true
+		}
+	}
+}
+
+// nextMachines takes machines that an owner is to be told of, one at the least, as far as
+// there is room in a line.
+func (sl *shardLeader) nextMachines(k *ownerLink, room int) []shard.Machine {
+	var list []shard.Machine
 	for _, m := range sl.l.fleetList {
 		if !k.listed[m] {
 			continue
 		}
-		entry := sl.machine(m, k.told[m.shard])
-		k.line.Machines = append(k.line.Machines, entry)
-		if items += 1 + len(entry.Runs); items >= lineItems {
-			sl.send(k)
-			items = 0
+		size := sl.sizeInLine(m)
+		if size > room && (len(list) > 0 || room < lineRoom) {
+			return list
+		}
+		room -= size
+		list = append(list, sl.machine(m, k.told[m.shard]))
+		delete(k.listed, m)
+		if len(k.listed) == 0 {
+			return list
 		}
 	}
-	clear(k.listed)
-	sl.send(k)
+	clear(k.listed) // of machines that are gone
+	return list
 }
 
-func (sl *shardLeader) send(k *ownerLink) {
+// sizeInLine is about how long a machine is in a line.
+func (sl *shardLeader) sizeInLine(m *machine) int {
+	entry := shard.Machine{Name: m.name, Addr: m.addr, Type: m.typ, Zone: m.zone}
+	size := entry.Size()
+	for _, a := range m.list {
+		size += shard.RunSize(m.name, a.job.ID)
+	}
+	return size
+}
+
+func (sl *shardLeader) send(k *ownerLink, line shard.Instructions) {
 	n := sl.l.n
-	in := &k.line
-	content := k.link.NeedsReset() || len(in.Machines)+len(in.Gone)+len(in.Runs)+len(in.Stops)+len(in.Forgets) > 0
-	in.Header = k.link.Next(n.now, content)
+	content := k.link.NeedsReset() || !line.Empty()
+	line.Header = k.link.Next(n.now, content)
 	k.sentAt = n.now
-	line := *in
-	k.line = shard.Instructions{}
 	n.sendShardLine(k.member.Node, shardLine{Instructions: &line})
 }
 
@@ -253,7 +286,7 @@
 	if taken {
 		sl.takeSeen(k, seen)
 	}
-	if k.link.AckDue() {
+	if k.link.AckDue() || k.blocked && !k.link.Full() {
 		sl.soon(k)
 	}
 }
@@ -405,10 +438,17 @@
 func (sl *shardLeader) takeStatus(k *ownerLink, s *shard.Status) {
 	l, n := sl.l, sl.l.n
 	k.status = *s
-	late := map[string]*shard.Late{}
+	if s.Part == 0 || k.late == nil {
+		k.late = map[string]*shard.Late{}
+	}
 	for i := range s.Late {
-		late[s.Late[i].Machine] = &s.Late[i]
+		k.late[s.Late[i].Machine] = &s.Late[i]
+	}
+	if s.More {
+		return // who is well shows once all parts are there
 	}
+	late := k.late
+	k.late = nil
 	known, lost := 0, 0
 	for _, m := range l.fleetList {
 		if k.told[m.shard] == 0 || sl.may(k, m.name) == nil {
--- a/internal/coordination/shard_lines.go
+++ b/internal/coordination/shard_lines.go
@@ -26,6 +26,10 @@
 	if err != nil { // lines hold only strings and finite numbers
 		panic(err)
 	}
+	if len(raw) > MaxPeerLine {
+		n.bounds.hit(boundLine)
+		return
+	}
 	n.out.Sends = append(n.out.Sends, Send{To: to, Body: raw})
 }
 
--- a/internal/coordination/shard_owner.go
+++ b/internal/coordination/shard_owner.go
@@ -1,7 +1,9 @@
 package coordination
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -93,18 +95,28 @@
 // dropShard forgets a shard that is somebody else's.
 func (o *shardOwner) dropShard(id shard.ID) {
 	delete(o.held, id)
-	for _, m := range slices.Clone(o.fleetList) {
-		if m.shard == id {
-			o.moved[m.name] = id
-			o.removeMachine(m)
+	o.fleetList = slices.DeleteFunc(o.fleetList, func(m *machine) bool {
+		if m.shard != id {
+			return false
 		}
-	}
+		o.moved[m.name] = id
+		o.forgetHeld(m)
+		return true
+	})
 	o.n.log.Info("serving shard no more", "shard", id)
 }
 
-func (o *shardOwner) removeMachine(m *machine) {
+// forgetHeld drops what is known of a machine that isn't served any more.
+func (o *shardOwner) forgetHeld(m *machine) {
 	m.removed, m.tenure = true, nil
 	delete(o.machines, m.name)
+	for _, a := range m.list {
+		delete(a.job.held, a)
+	}
+}
+
+func (o *shardOwner) removeMachine(m *machine) {
+	o.forgetHeld(m)
 	o.fleetList = slices.DeleteFunc(o.fleetList, func(k *machine) bool { return k == m })
 }
 
@@ -389,12 +401,12 @@
 // jobEnded implements observer: its tasks are stopped without waiting for the leader.
 func (o *shardOwner) jobEnded(j *job, s protocol.JobState) {
 	j.outcome = s
-	for _, m := range o.fleetList {
-		for _, a := range m.sorted() {
-			if a.job == j {
-				o.stop(a, 0)
-			}
-		}
+	held := slices.Collect(maps.Keys(j.held))
+	slices.SortFunc(held, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(a.machine.name, b.machine.name), compareAttempts(a, b))
+	})
+	for _, a := range held {
+		o.stop(a, 0)
 	}
 }
 
@@ -418,6 +430,10 @@
 func (o *shardOwner) add(m *machine, r shard.Run, inherited bool) {
 	a := &attempt{job: o.job(r.Job), task: r.Index, number: r.Attempt, machine: m, recorded: true, inherited: inherited, since: o.n.now}
 	o.hold(a)
+	if a.job.held == nil {
+		a.job.held = map[*attempt]struct{}{}
+	}
+	a.job.held[a] = struct{}{}
 	if r.Stop || a.job.outcome != 0 {
 		o.stop(a, time.Duration(r.Grace)*time.Millisecond)
 		return
@@ -430,6 +446,7 @@
 	if a.stop {
 		a.machine.stops--
 	}
+	delete(a.job.held, a)
 	o.drop(a)
 }
 
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -29,6 +29,7 @@
 	Machines int      // ordinary ones that run from the start, in zones in turn
 	Capacity int      // machines that can be rented per type, zone and kind
 	Fleet    bool     // limits, budgets and intervals of a fleet of a thousand machines
+	Shards   int      // per controller; 0: the leader serves all machines
 	Limit    float64  // CPUs that each team may take; 0 for those of the settings above
 	// Cost is the processor time of each event on a node: what comes faster waits, and
 	// timers fire late, as on a small share of a processor.
@@ -71,6 +72,8 @@
 	log    *slog.Logger
 
 	settings    config.Settings
+	operator    config.Operator
+	streams     map[link]*stream // between controllers
 	nodes       []*node
 	state       *stateService
 	cloud       *cloud
@@ -172,7 +175,11 @@
 func newCluster(o Options, begin time.Time, address func(*host) string) *Cluster {
 	c := &Cluster{address: address,
 		now: begin, begin: begin, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[string]*worker{},
-		cost: o.Cost, jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}, kept: map[string][][]byte{}}
+		cost: o.Cost, jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}, kept: map[string][][]byte{},
+		streams: map[link]*stream{}, operator: config.DefaultOperator()}
+	if o.Shards > 0 {
+		c.operator.Sharding = &config.Sharding{ShardsPerController: o.Shards}
+	}
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
@@ -391,7 +398,7 @@
 	n.open = map[uint64]func(int, []byte){}
 	n.silent = false
 	boot := uint64(slices.Index(c.nodes, n)+1)<<32 | n.boots
-	n.core = coordination.New(&s, config.DefaultOperator(), c.log.With("node", n.name), boot, c.now)
+	n.core = coordination.New(&s, c.operator, c.log.With("node", n.name), boot, c.now)
 	n.apply(n.core.Start(c.now))
 }
 
@@ -512,11 +519,14 @@
 	for _, p := range e.Publishes {
 		for _, o := range c.nodes {
 			if o != n {
-				c.send(n.name, o.name, func() {
-					if o.core != nil {
-						o.run(func() { o.apply(o.core.Peer(c.now, p.Body)) })
-					}
-				})
+				n.tell(o, p.Body)
+			}
+		}
+	}
+	for _, s := range e.Sends {
+		for _, o := range c.nodes {
+			if o.name == s.To {
+				n.tell(o, s.Body)
 			}
 		}
 	}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -209,7 +209,8 @@
 		o := Options{Seed: uint64(number(t, d, "seed", "1")), Nodes: int(number(t, d, "nodes", "3")),
 			Machines: int(number(t, d, "machines", "4")), Capacity: int(number(t, d, "capacity", "20")),
 			Zones: strings.Split(arg(d, "zones", "a"), ","), Fleet: arg(d, "fleet", "") != "",
-			Limit: number(t, d, "limit", "0"), Cost: duration(t, d, arg(d, "cost", "0s"))}
+			Shards: int(number(t, d, "shards", "0")),
+			Limit:  number(t, d, "limit", "0"), Cost: duration(t, d, arg(d, "cost", "0s"))}
 		if os.Getenv("SCENARIO_LOG") != "" {
 			o.Log = os.Stderr
 		}
--- a/internal/transport/loop_test.go
+++ b/internal/transport/loop_test.go
@@ -209,13 +209,13 @@
 		return ln.Addr().String()
 	}
 	a, b := addr(), addr()
-	first, err := NewPeers(a, nil, func([]byte) {}, log)
+	first, err := NewPeers(a, "one", nil, func([]byte) {}, log)
 	if err != nil {
 		t.Fatal(err)
 	}
 	first.Publish([]byte("one"))
 	got := make(chan string, 4)
-	if _, err := NewPeers(b, []string{a}, func(line []byte) { got <- string(line) }, log); err != nil {
+	if _, err := NewPeers(b, "two", []string{a}, func(line []byte) { got <- string(line) }, log); err != nil {
 		t.Fatal(err)
 	}
 	if line := <-got; line != "one" {
@@ -225,4 +225,10 @@
 	if line := <-got; line != "two" {
 		t.Errorf("got %q", line)
 	}
+	// What is for another peer doesn't come.
+	first.Send("three", []byte("for three"))
+	first.Send("two", []byte("for two"))
+	if line := <-got; line != "for two" {
+		t.Errorf("got %q", line)
+	}
 }
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,22 +26,43 @@
 // MaxPeerLine is the length of the longest line that a stream takes.
 const MaxPeerLine = 64 << 10
 
+// peerName is the field of a request for a stream that names who asks.
+const peerName = "node"
+
 // Peers keeps one HTTP/2 stream to each other controller, on which that
 // controller tells its events, a line each. They are hints: a lost one is
 // made up for by the next.
 type Peers struct {
+	name    string
 	receive func(line []byte)
 	log     *slog.Logger
 
 	mu      sync.Mutex
-	streams map[chan []byte]struct{}
+	streams map[*stream]struct{}
 	last    []byte
+	dropped int
+}
+
+// stream is what a peer reads. Its name is as the peer gave it.
+type stream struct {
+	name  string
+	lines chan []byte
+}
+
+// offer puts a line on a stream, and reports whether there was room.
+func (s *stream) offer(line []byte) bool {
+	select {
+	case s.lines <- line:
+		return true
+	default:
+		return false
+	}
 }
 
 // NewPeers serves events on listen and receives those of the peers, handing
-// each to receive, from goroutines of its own.
-func NewPeers(listen string, peers []string, receive func(line []byte), log *slog.Logger) (*Peers, error) {
-	p := &Peers{receive: receive, log: log, streams: map[chan []byte]struct{}{}}
+// each to receive, from goroutines of its own. name tells the peers whose stream it is.
+func NewPeers(listen, name string, peers []string, receive func(line []byte), log *slog.Logger) (*Peers, error) {
+	p := &Peers{name: name, receive: receive, log: log, streams: map[*stream]struct{}{}}
 	ln, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
@@ -58,14 +80,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.last = line
-	for c := range p.streams {
-		select {
-		case c <- line:
-		default:
+	for s := range p.streams {
+		if !s.offer(line) {
+			p.dropped++
+		}
+	}
+}
+
+// Send tells one peer, if it listens. A peer that can't keep up misses the line.
+func (p *Peers) Send(name string, line []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s := range p.streams {
+		if s.name == name && !s.offer(line) {
+			p.dropped++
 		}
 	}
 }
 
+// Dropped tells how many lines peers missed since it was last asked.
+func (p *Peers) Dropped() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := p.dropped
+	p.dropped = 0
+	return count
+}
+
 func (p *Peers) serve(ln net.Listener) {
 	server := &http.Server{
 		Handler:     http.HandlerFunc(p.events),
@@ -127,23 +168,23 @@
 		http.Error(w, "no such stream", http.StatusNotFound)
 		return
 	}
-	c := make(chan []byte, peerQueue)
+	s := &stream{name: r.URL.Query().Get(peerName), lines: make(chan []byte, peerQueue)}
 	p.mu.Lock()
 	if p.last != nil {
-		c <- p.last
+		s.lines <- p.last
 	}
-	p.streams[c] = struct{}{}
+	p.streams[s] = struct{}{}
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
-		delete(p.streams, c)
+		delete(p.streams, s)
 		p.mu.Unlock()
 	}()
 	for {
 		select {
 		case <-r.Context().Done():
 			return
-		case line := <-c:
+		case line := <-s.lines:
 			if _, err := w.Write(append(line[:len(line):len(line)], '\n')); err != nil {
 				return
 			}
@@ -174,7 +215,7 @@
 	// A peer tells something every second; one that doesn't is dialled anew.
 	watchdog := time.AfterFunc(peerSilence, cancel)
 	defer watchdog.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+peerPath, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+peerPath+"?"+url.Values{peerName: {p.name}}.Encode(), nil)
 	if err != nil {
 		return err
 	}
