--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -128,6 +128,9 @@
 			a.sentSession, a.sentSeq = session, r.Seq
 		}
 	}
+	if m.tenure == nil {
+		return // its shard went to another owner meanwhile
+	}
 	if r.Token>>fenceBits > m.tenure.term {
 		o.observer.laterToken(m)
 		return
--- a/internal/coordination/shard_owner.go
+++ b/internal/coordination/shard_owner.go
@@ -252,7 +252,7 @@
 
 func (o *shardOwner) newMachine(k shard.Machine, h *heldShard) *machine {
 	m := &machine{name: k.Name, addr: k.Addr, typ: k.Type, zone: k.Zone, spot: k.Spot, shard: k.Shard, tenure: &h.tenure,
-		attempts: map[taskKey]*attempt{}, exits: map[taskKey]*toldExit{}, strays: map[taskKey]uint64{}}
+		attempts: map[taskKey]*attempt{}, exits: map[taskKey]*toldExit{}, strays: map[taskKey]uint64{}, strayStops: map[taskKey]uint64{}}
 	o.machines[k.Name] = m
 	o.fleetList = append(o.fleetList, m)
 	delete(o.moved, k.Name)
