--- a/internal/coordination/grow.go
+++ b/internal/coordination/grow.go
@@ -46,7 +46,7 @@
 	if l.phase != active || n.storeDown() || len(n.types) == 0 || !n.now.Before(l.right.validUntil) || f.partly {
 		return false
 	}
-	if n.strained() || len(l.fleetList) > l.likelyFleet() && n.now.Sub(n.lateAt) < carefulFor {
+	if n.strained() || len(l.fleetList) > l.likelyFleet() && l.overrun() {
 		n.bounds.hit(boundServed)
 		return false
 	}
@@ -71,14 +71,22 @@
 	carefulFor  = 4 * time.Second
 )
 
-// likelyFleet is how many machines are likely to be served in time.
+// likelyFleet is how many machines are likely to be served in time. Those of shards' owners
+// aren't counted more: how many of them serve, and what that costs the leader, shows as the
+// fleet grows.
 func (l *lead) likelyFleet() int {
 	c := l.n.cfg
-	each := c.CPUShare * float64(c.ReportInterval) / float64(reportCost)
-	if l.shards != nil {
-		each *= float64(1 + len(c.Peers)) // all controllers answer reports
+	return int(min(c.CPUShare*float64(c.ReportInterval)/float64(reportCost), 1e9))
+}
+
+// overrun reports whether the controllers that serve the fleet have been late by now: this
+// one, or the owner of a shard.
+func (l *lead) overrun() bool {
+	n := l.n
+	if !n.lateAt.IsZero() && n.now.Sub(n.lateAt) < carefulFor {
+		return true
 	}
-	return int(min(each, 1e9))
+	return l.shards != nil && l.shards.ownersLate()
 }
 
 // rentable is how many machines may be rented in one turn.
--- /dev/null
+++ b/internal/coordination/leave.go
@@ -0,0 +1,90 @@
+package coordination
+
+import (
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/coordination/shard"
+	"brasskeel/internal/protocol"
+)
+
+// leaveStep is how often a controller that is to be drained looks whether it can give more
+// up, and leavePause how long it doesn't stand for election after it gave the lead up.
+const (
+	leaveStep  = 200 * time.Millisecond
+	leavePause = 20 * time.Second
+)
+
+// Drain lets the controller give up what it has before a planned end: its shards move to
+// others while jobs run, then the lead passes on. It answers users as before. Nothing is
+// given up that nobody else can take.
+func (n *Node) Drain(now time.Time) Effects {
+	n.now = now
+	if !n.draining {
+		n.draining = true
+		n.log.Info("draining this controller")
+		if n.sharding != nil {
+			n.sharding.drain()
+		}
+		n.drainStep()
+	}
+	return n.take()
+}
+
+// Drained reports whether the controller neither leads nor serves workers.
+func (n *Node) Drained() bool {
+	return n.lead == nil && (n.sharding == nil || n.sharding.own == nil || len(n.sharding.own.held) == 0)
+}
+
+// drainStep gives up the lead once there is nothing else to give up.
+func (n *Node) drainStep() {
+	servesShards := n.sharding != nil && n.sharding.own != nil && len(n.sharding.own.held) > 0
+	if n.lead != nil && !servesShards && !n.storeDown() && n.fitPeer() {
+		n.resign("this controller is drained", leavePause)
+	}
+	n.after(leaveStep, n.drainStep)
+}
+
+// fitPeer reports whether a peer was heard lately that may lead.
+func (n *Node) fitPeer() bool {
+	for _, p := range n.peers {
+		if p.storeOK && !p.unfit && n.now.Sub(p.at) < 2500*time.Millisecond {
+			return true
+		}
+	}
+	return false
+}
+
+// drain lets the leader know that this member is to own nothing.
+func (s *sharding) drain() {
+	s.draining = true
+	if s.own != nil {
+		s.tellDraining(s.own)
+	}
+}
+
+// tellDraining writes the member's record anew, bound to the same lease.
+func (s *sharding) tellDraining(own *shardOwner) {
+	n := s.n
+	key := bookkeeping.KeyMember(n.cfg.Name)
+	_, version := s.table.Member(n.cfg.Name)
+	value := bookkeeping.Encode(shard.MemberRecord{Member: s.member, Zone: n.cfg.Zone, Draining: true})
+	n.storeTxn(&protocol.Txn{
+		If:   []protocol.Condition{{Key: key, Version: version}},
+		Then: []protocol.Op{{Put: key, Value: value, Lease: own.right.lease}},
+	}, func(res txnResult, revision uint64, _ []string) {
+		switch {
+		case s.own != own:
+			// It left, and joins as a draining member.
+		case res == txnApplied:
+			s.put(key, protocol.Item{Key: key, Value: value, Version: revision})
+			s.changed()
+		default:
+			n.after(300*time.Millisecond, func() {
+				if s.own == own {
+					s.tellDraining(own)
+				}
+			})
+		}
+	})
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -116,6 +116,7 @@
 	trouble      string // as it is now; empty without any
 	troubleSince time.Time
 
+	draining  bool // it is to give up what it has
 	bounds    bounds
 	bursts    logBursts
 	held      heldReports // wait for a leader
--- a/internal/coordination/shard_leader.go
+++ b/internal/coordination/shard_leader.go
@@ -486,6 +486,16 @@
 	k.blind = known > 2 && lost*2 > known
 }
 
+// ownersLate reports whether an owner told lately that its timers fire too late.
+func (sl *shardLeader) ownersLate() bool {
+	for _, k := range sl.links {
+		if k.status.Load.Lag > lagLate && sl.l.n.now.Sub(k.heard) <= carefulFor {
+			return true
+		}
+	}
+	return false
+}
+
 // step is the regular turn: it watches the links and plans.
 func (sl *shardLeader) step() {
 	if !sl.s.read || sl.l.phase == loading {
--- a/internal/standin/calm.go
+++ b/internal/standin/calm.go
@@ -51,6 +51,7 @@
 			j.waits = c.now
 		}
 	}
+	c.checkOwners()
 	c.after(2*time.Second, c.calmStep)
 }
 
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -26,7 +26,7 @@
 	for seed := range days {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			chaos(t, uint64(seed), false)
+			chaos(t, uint64(seed), false, 0)
 		})
 	}
 }
@@ -42,7 +42,32 @@
 	for seed := range days {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			chaos(t, uint64(seed), true)
+			chaos(t, uint64(seed), true, 0)
+		})
+	}
+}
+
+// TestChaosShards plays such days with the machines divided into shards, while controllers
+// are drained, too. CHAOS_SHARDS sets how many, and CHAOS_SHARD_FLEETS how many of them
+// have a thousand machines.
+func TestChaosShards(t *testing.T) {
+	days, fleets := 12, 0
+	if s := os.Getenv("CHAOS_SHARDS"); s != "" {
+		days, _ = strconv.Atoi(s)
+	}
+	if s := os.Getenv("CHAOS_SHARD_FLEETS"); s != "" {
+		fleets, _ = strconv.Atoi(s)
+	}
+	for seed := range days {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			chaos(t, uint64(seed), false, 1+seed%3)
+		})
+	}
+	for seed := range fleets {
+		t.Run(fmt.Sprint("fleet", seed), func(t *testing.T) {
+			t.Parallel()
+			chaos(t, uint64(seed), true, 1+seed%3)
 		})
 	}
 }
@@ -50,10 +75,10 @@
 // kinds of trouble are drawn.
 const kinds = 40
 
-func chaos(t *testing.T, seed uint64, fleet bool) {
+func chaos(t *testing.T, seed uint64, fleet bool, shards int) {
 	rng := rand.New(rand.NewPCG(seed, 99))
 	zones := [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}}[rng.IntN(3)]
-	o := Options{Seed: seed, Nodes: 3, Zones: zones, Machines: 3 + rng.IntN(4), Capacity: 3 + rng.IntN(8)}
+	o := Options{Seed: seed, Nodes: 3, Zones: zones, Machines: 3 + rng.IntN(4), Capacity: 3 + rng.IntN(8), Shards: shards}
 	if os.Getenv("SCENARIO_LOG") != "" {
 		o.Log = os.Stderr
 	}
@@ -395,6 +420,20 @@
 		}
 	}
 	for range 60 {
+		if shards > 0 && rng.IntN(4) == 0 {
+			n := c.nodes[rng.IntN(len(c.nodes))]
+			if n.core != nil {
+				n.run(func() { n.apply(n.core.Drain(c.now)) })
+				later(20, func() {
+					n.crash()
+					later(4, func() {
+						if n.core == nil {
+							n.start()
+						}
+					})
+				})
+			}
+		}
 		c.Advance(time.Duration(200+rng.IntN(5000)) * time.Millisecond)
 		for range rng.IntN(3) {
 			submit(func(*protocol.Job) {})
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -16,6 +16,8 @@
 	"slices"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"brasskeel/internal/config"
 	"brasskeel/internal/coordination"
 	"brasskeel/internal/protocol"
@@ -71,6 +73,8 @@
 	rng    *rand.Rand
 	log    *slog.Logger
 
+	servers     map[uint64]string // who served workers under a term
+	gaps        *hdrhistogram.Histogram
 	settings    config.Settings
 	operator    config.Operator
 	streams     map[link]*stream // between controllers
@@ -176,7 +180,7 @@
 	c := &Cluster{address: address,
 		now: begin, begin: begin, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[string]*worker{},
 		cost: o.Cost, jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}, kept: map[string][][]byte{},
-		streams: map[link]*stream{}, operator: config.DefaultOperator()}
+		servers: map[uint64]string{}, gaps: newGaps(), streams: map[link]*stream{}, operator: config.DefaultOperator()}
 	if o.Shards > 0 {
 		c.operator.Sharding = &config.Sharding{ShardsPerController: o.Shards}
 	}
@@ -508,7 +512,8 @@
 				continue
 			}
 			sent := c.now
-			serve := func(respond func(int, []byte)) { w.serve(k.Method, k.Target, k.Body, sent, respond) }
+			from := n.life()
+			serve := func(respond func(int, []byte)) { w.serve(from, k.Method, k.Target, k.Body, sent, respond) }
 			c.request(n.name, w.name, serve, done)
 			if c.copies && k.Method == "POST" {
 				// The same packets once more, half a minute late.
--- a/internal/standin/live_services.go
+++ b/internal/standin/live_services.go
@@ -75,7 +75,7 @@
 func (l *Live) serveWorker(h *host) string {
 	addr, err := l.listen(l.handler(controllers, h.name, func(method, target string, body []byte, respond func(int, []byte)) {
 		if h.worker != nil {
-			h.worker.serve(method, target, body, l.cluster.now, respond)
+			h.worker.serve("", method, target, body, l.cluster.now, respond)
 		}
 	}))
 	if err != nil {
--- /dev/null
+++ b/internal/standin/owners.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/coordination/shard"
+	"brasskeel/internal/protocol"
+)
+
+const (
+	settleTime = 30 * time.Second // after the last trouble
+	termBits   = 16               // of a token, below the term that it was drawn under
+)
+
+// unservedMost is how long a worker that can be reached may go without an answer once all
+// troubles have been over for settleTime.
+func (c *Cluster) unservedMost() time.Duration { return c.settings.WorkerLease / 2 }
+
+// life names a node's process, and not another one of the same node; nothing where that
+// can't be told, as of processes of their own.
+func (n *node) life() string {
+	if n.remote != nil {
+		return ""
+	}
+	return fmt.Sprintf("%s#%d", n.name, n.boots)
+}
+
+// served notes that a worker followed a controller under a token. A term belongs to one life
+// of one controller: orders of two under one token could not be told apart.
+func (c *Cluster) served(token uint64, from string) {
+	if from == "" {
+		return
+	}
+	term := token >> termBits
+	if by := c.servers[term]; by != "" && by != from {
+		c.breaks("two_owners", "workers follow %s and %s under term %d", by, from, term)
+	}
+	c.servers[term] = from
+}
+
+// checkOwners checks, once troubles are over, that every machine is in one shard on record at
+// the most and that every worker is served.
+func (c *Cluster) checkOwners() {
+	in := map[string]int{}
+	for _, it := range c.state.under(bookkeeping.PrefixMachines) {
+		id := bookkeeping.ShardOfMachines(it.Key)
+		var r bookkeeping.Machines
+		if id == 0 || protocol.Decode(it.Value, &r) != nil {
+			continue
+		}
+		for _, m := range r.Machines {
+			if other, there := in[m.Name]; there && other != id {
+				c.breaks("two_shards", "%s is in shards %d and %d", m.Name, other, id)
+			}
+			in[m.Name] = id
+		}
+	}
+	if c.now.Sub(c.calm) < settleTime {
+		return
+	}
+	for _, h := range c.cloud.hosts {
+		w := h.worker
+		if w == nil || w.dead || w.hung || w.mute || c.now.Sub(h.up) < settleTime {
+			continue
+		}
+		if unserved := c.now.Sub(latest(w.lastAnswer, c.calm)); unserved > c.unservedMost() {
+			c.breaks("unserved", "%s got no answer for %s", w.name, unserved.Round(time.Millisecond))
+			w.lastAnswer = c.now
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Owners lists who owns how many shards, as the state service has it, and which move.
+func (c *Cluster) Owners() []string {
+	owned, moving := map[string]int{}, 0
+	for _, it := range c.state.under(bookkeeping.PrefixOwners) {
+		var r shard.Record
+		if protocol.Decode(it.Value, &r) != nil {
+			continue
+		}
+		owned[r.Owner.Node]++
+		if r.Next != nil {
+			moving++
+		}
+	}
+	var list []string
+	for node, count := range owned {
+		list = append(list, fmt.Sprintf("%s owns %d", node, count))
+	}
+	slices.Sort(list)
+	if moving > 0 {
+		list = append(list, fmt.Sprintf("%d move", moving))
+	}
+	return list
+}
+
+// ShardOwners lists the shards and who owns them, as the state service has it.
+func (c *Cluster) ShardOwners() []string {
+	var list []string
+	for _, it := range c.state.under(bookkeeping.PrefixOwners) {
+		var r shard.Record
+		if protocol.Decode(it.Value, &r) == nil {
+			list = append(list, fmt.Sprintf("%s %s", strings.TrimPrefix(it.Key, bookkeeping.PrefixOwners), r.Owner.Node))
+		}
+	}
+	return list
+}
+
+// Times between two answers to a worker are kept from a millisecond to ten minutes, to a
+// hundredth.
+func newGaps() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000, 2) }
+
+func (c *Cluster) noteGap(d time.Duration) {
+	_ = c.gaps.RecordValue(min(d.Milliseconds(), 600_000)) // within its range
+}
+
+// Gaps tells the distribution of times between two answers to a worker.
+func (c *Cluster) Gaps() string {
+	at := func(q float64) string { return (time.Duration(c.gaps.ValueAtQuantile(q)) * time.Millisecond).String() }
+	return strings.Join([]string{"median " + at(50), "99% " + at(99), "most " + at(100)}, ", ")
+}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -308,6 +308,24 @@
 		n.crash()
 		n.silent = true
 		return n.name
+	case "drain":
+		n := r.c.nodes[r.node(t, d, first(t, d))]
+		n.run(func() { n.apply(n.core.Drain(r.c.now)) })
+		return n.name
+	case "drained":
+		// drained NODE: whether it neither leads nor serves workers.
+		return fmt.Sprint(r.c.nodes[r.node(t, d, first(t, d))].core.Drained())
+	case "shards":
+		return strings.Join(r.c.ShardOwners(), "\n")
+	case "owners":
+		return strings.Join(r.c.Owners(), "\n")
+	case "gaps":
+		// gaps [reset]: the longest times between two answers to a worker.
+		if len(d.CmdArgs) > 0 && d.CmdArgs[0].Key == "reset" {
+			r.c.gaps.Reset()
+			return ""
+		}
+		return r.c.Gaps()
 	case "freeze":
 		n := r.c.nodes[r.node(t, d, first(t, d))]
 		n.freeze()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -35,6 +35,18 @@
 	changed, limited  int                 // changes made, and requests refused for their number
 }
 
+// under lists the items whose keys have a prefix, in order.
+func (s *stateService) under(prefix string) []protocol.Item {
+	var list []protocol.Item
+	for key, it := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, it)
+		}
+	}
+	slices.SortFunc(list, func(a, b protocol.Item) int { return strings.Compare(a.Key, b.Key) })
+	return list
+}
+
 type change struct {
 	revision uint64
 	event    protocol.Event
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -32,9 +32,11 @@
 	reportSeq uint64 // of the report in flight; older answers are dropped
 	lastSent  time.Time
 	answered  time.Time // when the last answered report was sent
-	next      *event
-	lease     *event
-	changed   bool
+	// lastAnswer is when that answer came.
+	lastAnswer time.Time
+	next       *event
+	lease      *event
+	changed    bool
 }
 
 type runningTask struct {
@@ -49,7 +51,7 @@
 }
 
 func newWorker(c *Cluster, h *host, spec *protocol.MachineType) *worker {
-	w := &worker{c: c, name: h.name, host: h, spec: spec, session: 1, answered: c.now, node: c.rng.IntN(3)}
+	w := &worker{c: c, name: h.name, host: h, spec: spec, session: 1, answered: c.now, lastAnswer: c.now, node: c.rng.IntN(3)}
 	c.workers[w.name] = w
 	w.armLease()
 	w.reportIn(0)
@@ -183,7 +185,9 @@
 		return // nobody takes its connections
 	}
 	var replied time.Time // when the controller sent its answer
+	from := n.life()
 	serve := func(respond func(int, []byte)) {
+		from = n.life() // the process that answers
 		c.around(onReport, []string{n.name, n.name + "/" + w.name}, func() {
 			n.request("POST", protocol.PathReport, body, reportTimeout, func(status int, body []byte) {
 				replied = c.now
@@ -201,7 +205,7 @@
 			finish(func() {
 				switch status {
 				case 200:
-					w.accept(session, sent, replied, body)
+					w.accept(from, session, sent, replied, body)
 					w.again()
 				case 421:
 					leader := protocol.ParseRedirect(body)
@@ -232,7 +236,7 @@
 }
 
 // accept takes the answer to a report that was sent and replied to at these times.
-func (w *worker) accept(session uint64, sent, replied time.Time, body []byte) {
+func (w *worker) accept(from string, session uint64, sent, replied time.Time, body []byte) {
 	token, _, orders, err := protocol.ParseOrders(body)
 	if err != nil || token == nil || *token < w.token || session != w.session {
 		return
@@ -241,13 +245,16 @@
 		w.token = *token
 		w.changed = true
 	}
+	w.c.served(*token, from)
+	w.c.noteGap(w.c.now.Sub(w.lastAnswer))
+	w.lastAnswer = w.c.now
 	w.answered = sent
 	w.armLease()
 	w.execute(orders, replied)
 }
 
 // serve answers a controller's request that was sent at a time.
-func (w *worker) serve(method, target string, body []byte, sent time.Time, respond func(int, []byte)) {
+func (w *worker) serve(from, method, target string, body []byte, sent time.Time, respond func(int, []byte)) {
 	w.run(func() {
 		if method == "GET" {
 			respond(200, protocol.EncodeReport(w.content()))
@@ -262,6 +269,7 @@
 			respond(409, protocol.EncodeReport(w.content()))
 			return
 		}
+		w.c.served(*token, from)
 		if *token > w.token {
 			w.token = *token
 			w.change()
