--- a/internal/coordination/shard/link.go
+++ b/internal/coordination/shard/link.go
@@ -91,10 +91,12 @@
 	if h.Seq == 0 {
 		return false
 	}
+	if h.Seq <= l.taken {
+		return false // a copy: what it told may be long over, also where it began an account
+	}
 	if !h.Reset && (!l.inOrder || h.Seq != l.taken+1) {
-		// A copy, or one of those after a lost line: a full account will come.
-		l.inOrder = l.inOrder && h.Seq <= l.taken
-		l.ackDue = l.ackDue || !l.inOrder
+		// One of those after a lost line: a full account will come.
+		l.inOrder, l.ackDue = false, true
 		return false
 	}
 	l.taken, l.inOrder, l.ackDue = h.Seq, true, true
--- a/internal/coordination/shard/planner.go
+++ b/internal/coordination/shard/planner.go
@@ -282,7 +282,14 @@
 		p.since[0] = lastingly{0, now}
 		return nil
 	}
-	if now.Sub(p.since[0].from) < settledFor || now.Sub(p.balance) < movePause {
+	gap, lasting := p.since[0]
+	if !lasting {
+		// A new leader knows of the gap since now: loads right after a change of leaders
+		// say little.
+		gap = lastingly{0, now}
+		p.since[0] = gap
+	}
+	if now.Sub(gap.from) < settledFor || now.Sub(p.balance) < movePause {
 		return nil
 	}
 	p.balance, p.movedAt[s.ID] = now, now
--- /dev/null
+++ b/internal/coordination/shard/shard_test.go
@@ -0,0 +1,245 @@
+package shard
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+)
+
+var start = time.Date(2026, 9, 21, 12, 0, 0, 0, time.UTC)
+
+func member(node string) Member { return Member{Node: node, Incarnation: 1} }
+
+// tableOf has three members, and shards that are owned by the nodes named.
+func tableOf(t *testing.T, owners ...string) *Table {
+	t.Helper()
+	table := NewTable()
+	put := func(key string, value any, version uint64) {
+		if err := table.Put(key, bookkeeping.Encode(value), version); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, node := range []string{"a", "b", "c"} {
+		put(bookkeeping.KeyMember(node), MemberRecord{Member: member(node)}, 10)
+	}
+	for i, node := range owners {
+		put(bookkeeping.KeyOwner(i+1), Record{Owner: Grant{member(node), uint64(i + 1)}, Generation: 1}, 20)
+	}
+	return table
+}
+
+var leader = Authority{LeaderVersion: 5, Term: 9, TermVersion: 6, Marked: true}
+
+// versions are the conditions of a change.
+func versions(c *Change) map[string]uint64 {
+	when := map[string]uint64{}
+	for _, k := range c.Txn.If {
+		when[k.Key] = k.Version
+	}
+	return when
+}
+
+// Shards are given only where the owner before has ended, and the change says so.
+func TestAssignAfterTheOwnerEnded(t *testing.T) {
+	table := tableOf(t, "a", "a")
+	if c := table.Assign([]Assignment{{1, member("b")}}, leader); len(c.Records) != 0 {
+		t.Errorf("the shard of a member that is alive was given: %+v", c.Records)
+	}
+	table.Remove(bookkeeping.KeyMember("a"), 30)
+	c := table.Assign([]Assignment{{1, member("b")}, {2, member("c")}}, leader)
+	when := versions(c)
+	if version, there := when[bookkeeping.KeyMember("a")]; !there || version != 0 {
+		t.Errorf("its lease may be there: %v", when)
+	}
+	if when[bookkeeping.KeyLeader] != 5 || when[bookkeeping.KeyTerm] != 6 || when[bookkeeping.KeyOwner(1)] != 20 {
+		t.Errorf("conditions %v", when)
+	}
+	if r := c.Records[1]; r.Released || r.Owner.Term != 10 || c.Records[2].Owner.Term != 11 || c.Term != 11 {
+		t.Errorf("records %+v", c.Records)
+	}
+}
+
+// A move is asked for by the leader and carried out by the owner, each on the record's version.
+func TestMove(t *testing.T) {
+	table := tableOf(t, "a")
+	if table.Release(1, member("a")) != nil {
+		t.Error("released without an intent")
+	}
+	intent := table.Intend(1, member("b"), leader)
+	table.Applied(intent, 40)
+	if table.Intend(1, member("c"), leader) != nil {
+		t.Error("a second move of a shard that moves")
+	}
+	if table.Release(1, member("b")) != nil {
+		t.Error("released by somebody else")
+	}
+	release := table.Release(1, member("a"))
+	if when := versions(release); when[bookkeeping.KeyOwner(1)] != 40 || len(when) != 1 {
+		t.Errorf("conditions %v", when)
+	}
+	table.Applied(release, 41)
+	if owner, ok := table.Owner(1); !ok || owner.Node != "b" || owner.Term != 10 {
+		t.Errorf("owner %+v", owner)
+	}
+	// What was written before, and is heard later, changes nothing.
+	if err := table.Put(bookkeeping.KeyOwner(1), bookkeeping.Encode(Record{Owner: Grant{member("a"), 1}}), 20); err != nil {
+		t.Fatal(err)
+	}
+	if owner, _ := table.Owner(1); owner.Node != "b" {
+		t.Errorf("owner %+v after an old record", owner)
+	}
+}
+
+// A record that can't be read belongs to nobody that is known, and isn't guessed at.
+func TestUnreadableRecord(t *testing.T) {
+	table := tableOf(t, "a")
+	if table.Put(bookkeeping.KeyOwner(1), json.RawMessage(`{"owner":7}`), 50) == nil {
+		t.Error("it was read")
+	}
+	if _, ok := table.Owner(1); ok {
+		t.Error("it has an owner")
+	}
+	if version, odd := table.Unreadable(1); !odd || version != 50 {
+		t.Errorf("version %d, unreadable %t", version, odd)
+	}
+}
+
+// fleet is three fit controllers, and shards of a hundred machines in turn.
+func fleet(shares ...float64) ([]Controller, []Shard) {
+	var controllers []Controller
+	for i, node := range []string{"a", "b", "c"} {
+		controllers = append(controllers, Controller{Member: member(node), Zone: "z", Fit: true, Load: Load{Share: shares[i]}})
+	}
+	var shards []Shard
+	for i := range 6 {
+		shards = append(shards, Shard{ID: ID(i + 1), Owner: controllers[i%3].Member, Machines: 100, Zone: "z"})
+	}
+	return controllers, shards
+}
+
+// Nothing moves for loads that differ little, or differ much for a moment.
+func TestNoMoveForNoise(t *testing.T) {
+	p := NewPlanner()
+	for i := range 120 {
+		share := []float64{0.4, 0.5, 0.55}
+		if i%10 == 0 {
+			share[i%3] = 0.95
+		}
+		controllers, shards := fleet(share...)
+		if d := p.Plan(start.Add(time.Duration(i)*time.Second), controllers, shards); len(d) > 0 {
+			t.Fatalf("after %d s: %+v", i, d)
+		}
+	}
+}
+
+// A lasting difference moves one shard, and another one not before the pause is over.
+func TestLevel(t *testing.T) {
+	p := NewPlanner()
+	controllers, shards := fleet(0.95, 0.3, 0.3)
+	var at []int
+	for i := range 60 {
+		for _, d := range p.Plan(start.Add(time.Duration(i)*time.Second), controllers, shards) {
+			if d.Why != ReasonBalance || d.To.Node == "a" {
+				t.Fatalf("after %d s: %+v", i, d)
+			}
+			at = append(at, i)
+		}
+	}
+	if len(at) == 0 || at[0] < 15 || len(at) > 1 && at[1]-at[0] < 20 {
+		t.Errorf("moves after %v s", at)
+	}
+}
+
+// A controller that is drained loses its shards, two at a time, and gets none; one that is late
+// gets none either.
+func TestDrain(t *testing.T) {
+	p := NewPlanner()
+	controllers, shards := fleet(0.4, 0.4, 0.4)
+	controllers[0].Draining = true
+	controllers[1].Fit = false
+	d := p.Plan(start, controllers, shards)
+	if len(d) != movesAtOnce {
+		t.Fatalf("%+v", d)
+	}
+	for _, k := range d {
+		if k.Why != ReasonDrain || k.To.Node != "c" || shards[k.ID-1].Owner.Node != "a" {
+			t.Errorf("%+v", k)
+		}
+	}
+}
+
+// Lines that are cut hold all that was told, in order, each within its room.
+func TestCut(t *testing.T) {
+	const room = 4000
+	in, seen := &Instructions{}, &Observations{Status: &Status{}}
+	for i := range 200 {
+		k := Task{Machine: fmt.Sprintf("vm-%06d", i), Job: "run-000001", Index: i, Attempt: 1}
+		in.Machines = append(in.Machines, Machine{Name: k.Machine, Type: "t", Zone: "z", Runs: []Run{{Task: k}, {Task: k}}})
+		in.Runs = append(in.Runs, Run{Task: k})
+		in.Gone = append(in.Gone, k.Machine)
+		seen.States = append(seen.States, State{Task: k})
+		seen.Gone = append(seen.Gone, Gone{Task: k, Why: "no longer reported"})
+		seen.Status.Late = append(seen.Status.Late, Late{Machine: k.Machine, Silent: 5000})
+	}
+	size := func(v any) int { return len(bookkeeping.Encode(v)) }
+	machines, runs := 0, 0
+	for !in.Empty() {
+		line, _ := in.Cut(room)
+		if size(line) > room || line.Empty() {
+			t.Fatalf("a line of %d bytes", size(line))
+		}
+		if len(line.Runs) > 0 && machines+len(line.Machines) < 200 {
+			t.Error("runs before their machines")
+		}
+		machines, runs = machines+len(line.Machines), runs+len(line.Runs)
+	}
+	states, gone, late, parts := 0, 0, 0, 0
+	for !seen.Empty() {
+		line := seen.Cut(room)
+		if size(line) > room {
+			t.Fatalf("a line of %d bytes", size(line))
+		}
+		states, gone = states+len(line.States), gone+len(line.Gone)
+		if s := line.Status; s != nil {
+			if s.Part != parts || s.More != (late+len(s.Late) < 200) {
+				t.Errorf("part %d: %+v", parts, s)
+			}
+			late, parts = late+len(s.Late), parts+1
+		}
+	}
+	if machines != 200 || runs != 200 || states != 200 || gone != 200 || late != 200 || parts < 2 {
+		t.Errorf("%d machines, %d runs, %d states, %d gone, %d late in %d parts", machines, runs, states, gone, late, parts)
+	}
+}
+
+// A link notices a lost line and asks for a full account; a copy changes nothing.
+func TestLink(t *testing.T) {
+	e := Epoch{Term: 3, Member: member("a")}
+	from, to := NewLink(e), NewLink(e)
+	first, lost, third := from.Next(start, true), from.Next(start, true), from.Next(start, true)
+	if !to.Take(first) || to.Take(first) {
+		t.Error("the first line once")
+	}
+	_ = lost
+	if to.Take(third) {
+		t.Error("a line after a lost one was taken")
+	}
+	from.Take(to.Next(start, false))
+	from.Check(start.Add(time.Second))
+	if !from.NeedsReset() || !to.Take(from.Next(start.Add(time.Second), true)) {
+		t.Error("no full account after a lost line")
+	}
+	if to.Take(Header{Epoch: Epoch{Term: 4, Member: member("a")}, Seq: 1, Reset: true}) {
+		t.Error("a line of another epoch was taken")
+	}
+	for !from.Full() {
+		from.Next(start, true)
+	}
+	from.Take(Header{Epoch: e, Ack: from.sent})
+	if from.Full() {
+		t.Error("full after all was acknowledged")
+	}
+}
--- /dev/null
+++ b/internal/coordination/shard_guards_test.go
@@ -0,0 +1,142 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/config"
+	"brasskeel/internal/coordination/shard"
+	"brasskeel/internal/protocol"
+)
+
+// shardedLead is a leader of one machine that runs a task, in a shard which n2 owns under term
+// 7 and which n1 owned under term 5.
+func shardedLead(t *testing.T) (*lead, *attempt) {
+	t.Helper()
+	n, l := leading(active)
+	n.op.Sharding = &config.Sharding{ShardsPerController: 1}
+	n.sharding = &sharding{n: n, table: shard.NewTable(), read: true}
+	for _, node := range []string{"n1", "n2"} {
+		put(t, n.sharding.table, bookkeeping.KeyMember(node), shard.MemberRecord{Member: shard.Member{Node: node, Incarnation: 1}}, 3)
+	}
+	put(t, n.sharding.table, bookkeeping.KeyOwner(1), shard.Record{Owner: shard.Grant{Member: shard.Member{Node: "n1", Incarnation: 1}, Term: 5}}, 4)
+	l.shards = newShardLeader(l, n.sharding, false)
+	l.shards.changed()
+	m := l.newMachine("vm-1", "small", "a", false)
+	m.shard, m.recorded, m.up, m.group = 1, true, true, &group{applied: true}
+	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: benchJob(2)})
+	l.assign(l.order[0], 0, m)
+	a := l.order[0].task(0).live
+	a.recorded = true
+	return l, a
+}
+
+func put(t *testing.T, table *shard.Table, key string, value any, version uint64) {
+	t.Helper()
+	if err := table.Put(key, bookkeeping.Encode(value), version); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// seen is a line of an owner's that tells of a shard under a term.
+func seen(l *lead, node string, term, seq uint64) *shard.Observations {
+	member := shard.Member{Node: node, Incarnation: 1}
+	return &shard.Observations{Header: shard.Header{Epoch: shard.Epoch{Term: l.term, Member: member}, Seq: seq, Reset: seq == 1},
+		Grants: map[shard.ID]uint64{1: term}}
+}
+
+// What an owner saw is taken while it owns the shard, and not when it comes after another one
+// took over: the successor may have started what the first saw missing.
+func TestObservationsOfEarlierOwners(t *testing.T) {
+	l, a := shardedLead(t)
+	l.shards.take("n1", seen(l, "n1", 5, 1))
+	put(t, l.n.sharding.table, bookkeeping.KeyOwner(1), shard.Record{Owner: shard.Grant{Member: shard.Member{Node: "n2", Incarnation: 1}, Term: 7}}, 6)
+	l.shards.changed()
+	late := seen(l, "n1", 5, 2)
+	late.Gone = []shard.Gone{{Task: attemptTask(a), Why: "never sent"}}
+	l.shards.take("n1", late)
+	if l.order[0].task(0).live != a {
+		t.Fatal("the word of an earlier owner was taken")
+	}
+	l.shards.take("n2", seen(l, "n2", 7, 1))
+	now := seen(l, "n2", 7, 2)
+	now.Gone = late.Gone
+	l.shards.take("n2", now)
+	if l.order[0].task(0).live != nil {
+		t.Error("the owner's word was not taken")
+	}
+}
+
+// Nobody is silent while its owner isn't heard: the leader waits for the next owner's word.
+func TestSilenceOfAnOwnerIsNoneOfItsWorkers(t *testing.T) {
+	l, a := shardedLead(t)
+	l.shards.take("n1", seen(l, "n1", 5, 1))
+	a.machine.heard, a.machine.answered, a.machine.reached, a.machine.firstHeard = l.n.now, l.n.now, l.n.now, l.n.now
+	l.n.now = l.n.now.Add(time.Minute)
+	if s := l.survey(); len(s.silent) != 0 {
+		t.Errorf("%s is given up while nobody tells of it", a.machine.name)
+	}
+	l.shards.take("n1", seen(l, "n1", 5, 2)) // its status comes within a second
+	if s := l.survey(); len(s.silent) != 0 {
+		t.Errorf("%s is given up as soon as its owner is heard again", a.machine.name)
+	}
+}
+
+// ownerOf is an owner of shard 1 under a term, with one machine.
+func ownerOf(t *testing.T, term uint64) *shardOwner {
+	t.Helper()
+	n, _ := leading(active)
+	n.lead = nil
+	n.sharding = &sharding{n: n, table: shard.NewTable(), read: true, member: shard.Member{Node: "n0", Incarnation: 1}}
+	o := newShardOwner(n.sharding, right{lease: 3, ttl: 2 * time.Second, validUntil: n.now.Add(time.Hour)})
+	n.sharding.own = o
+	o.known = n.now.Add(time.Hour)
+	o.held[1] = &heldShard{tenure: tenure{term: term, since: n.now, predecessorUntil: n.now}}
+	o.newMachine(shard.Machine{Shard: 1, Name: "vm-1", Type: "small", Zone: "a"}, o.held[1])
+	o.feed.follow("n1", 9)
+	n.take()
+	return o
+}
+
+// instructions is a leader's line that lists the owner's machine with a task to run.
+func instructions(o *shardOwner, term uint64) *shard.Instructions {
+	run := shard.Run{Task: shard.Task{Machine: "vm-1", Job: "run-000001", Index: 0, Attempt: 1}, New: true}
+	return &shard.Instructions{Header: shard.Header{Epoch: o.feed.link.Epoch(), Seq: 1, Reset: true},
+		Machines: []shard.Machine{{Shard: 1, Term: term, Name: "vm-1", Type: "small", Zone: "a", Runs: []shard.Run{run}}}}
+}
+
+// A list that was made for another tenure of the shard isn't taken: it may lack what the owner
+// between them started.
+func TestListsOfOtherTenures(t *testing.T) {
+	o := ownerOf(t, 7)
+	o.feed.take("n1", instructions(o, 5))
+	if m := o.machines["vm-1"]; m.listed || len(m.list) != 0 {
+		t.Error("the list of an earlier tenure was taken")
+	}
+	o = ownerOf(t, 7)
+	o.feed.take("n1", instructions(o, 7))
+	if m := o.machines["vm-1"]; !m.listed || len(m.list) != 1 {
+		t.Error("the list was not taken")
+	}
+}
+
+// An owner that is asked to release a shard answers none of its workers, and names the next.
+func TestReleasingOwnerIsSilent(t *testing.T) {
+	o := ownerOf(t, 7)
+	put(t, o.sharding.table, bookkeeping.KeyMember("n0"), shard.MemberRecord{Member: o.sharding.member}, 3)
+	next := shard.Grant{Member: shard.Member{Node: "n2", Incarnation: 1}, Term: 8}
+	record := shard.Record{Owner: shard.Grant{Member: o.sharding.member, Term: 7}, Next: &next}
+	put(t, o.sharding.table, bookkeeping.KeyOwner(1), record, 4)
+	o.follow()
+	e := o.n.Request(o.n.now, 1, "POST", protocol.PathReport, report(4))
+	if len(e.Replies) != 1 || e.Replies[0].Status != 421 || protocol.ParseRedirect(e.Replies[0].Body) != "n2" {
+		t.Errorf("answers %+v", e.Replies)
+	}
+	record.Next = nil // taken back
+	put(t, o.sharding.table, bookkeeping.KeyOwner(1), record, 5)
+	o.follow()
+	if e := o.n.Request(o.n.now, 2, "POST", protocol.PathReport, report(5)); len(e.Replies) != 1 || e.Replies[0].Status != 200 {
+		t.Errorf("answers %+v", e.Replies)
+	}
+}
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -184,8 +184,19 @@
 
 // lost reports whether a machine that was silent for a time is to be given up.
 func (l *lead) lost(m *machine, silent time.Duration) bool {
+	unreached, unreported := l.unreached(m), l.unreported(m)
+	if l.shards != nil {
+		// All of it is the word of who serves the machine: while nobody is heard it says
+		// nothing, and what was told before is no older than since it is heard again.
+		since, heard := l.shards.heardSince(m)
+		if !heard {
+			return false
+		}
+		told := l.n.now.Sub(since)
+		unreached, unreported = min(unreached, told), min(unreported, told)
+	}
 	return silent > l.releaseAfter() || silent > giveUpAfter && m.probeFails >= 3 ||
-		l.unreached(m) > l.deafAfter() && m.probeFails >= 4 || l.unreported(m) > 2*l.n.cfg.WorkerLease
+		unreached > l.deafAfter() && m.probeFails >= 4 || unreported > 2*l.n.cfg.WorkerLease
 }
 
 func latest(times ...time.Time) time.Time {
