--- a/cmd/brasskeel/control.go
+++ b/cmd/brasskeel/control.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -77,12 +78,41 @@
 		log.Warn("fewer file descriptors than sockets: connections will be refused", "descriptors", most, "sockets", cfg.Sockets)
 	}
 	log.Info("starting", "listen", cfg.Listen, "back", cfg.PeerListen, "zone", cfg.Zone)
+	c.drainOnTerminate(log)
 	if err := c.loop.Run(); err != nil {
 		return err
 	}
 	return errors.New("the event loop ended")
 }
 
+// Times of a planned end. drainWithin bounds how long a controller goes on after it was asked
+// to end; what it has not given up by then, others take over as after a crash.
+const (
+	drainWithin = 20 * time.Second
+	drainLook   = 100 * time.Millisecond
+)
+
+// drainOnTerminate lets a termination signal drain the controller before the process ends.
+func (c *control) drainOnTerminate(log *slog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, unix.SIGTERM)
+	go func() {
+		<-signals
+		<-c.ready
+		c.loop.Post(func() { c.apply(c.node.Drain(time.Now())) })
+		for end := time.Now().Add(drainWithin); time.Now().Before(end); time.Sleep(drainLook) {
+			drained := make(chan bool, 1)
+			c.loop.Post(func() { drained <- c.node.Drained() })
+			if <-drained {
+				log.Info("drained")
+				os.Exit(0)
+			}
+		}
+		log.Warn("not drained in time", "after", drainWithin)
+		os.Exit(0)
+	}()
+}
+
 // otherFiles is how many file descriptors the process needs beside sockets: its standard
 // streams, the settings, and what the runtime and the event loop hold.
 const otherFiles = 16
--- a/internal/standin/live_controller.go
+++ b/internal/standin/live_controller.go
@@ -166,6 +166,20 @@
 	}
 }
 
+// Terminate asks the process to hand over what it has and end, and waits until it has ended.
+func (k *Controller) Terminate() error {
+	p := k.current.Load()
+	if p == nil {
+		return os.ErrProcessDone
+	}
+	p.killed.Store(true)
+	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	<-p.ended
+	return nil
+}
+
 // Stop lets the process stand still until Continue.
 func (k *Controller) Stop() error { return k.signal(syscall.SIGSTOP) }
 
--- a/internal/standin/live_test.go
+++ b/internal/standin/live_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,12 +25,73 @@
 		"stopped leader":  stoppedLeader,
 		"refused leader":  refusedLeader,
 		"isolated leader": isolatedLeader,
+		"drained leader":  drainedLeader,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			test(newLiveTest(t, binary))
+			test(newLiveTest(t, binary, ""))
 		})
 	}
+	const shards = "../../deploy/operator.shards.json"
+	for name, test := range map[string]func(*liveTest){
+		"killed leader":   killedLeader,
+		"stopped leader":  stoppedLeader,
+		"isolated leader": isolatedLeader,
+		"drained leader":  drainedLeader,
+		"drained owners":  drainedOwners,
+	} {
+		t.Run("shards, "+name, func(t *testing.T) {
+			t.Parallel()
+			test(newLiveTest(t, binary, shards))
+		})
+	}
+}
+
+// drainedLeader lets the leader hand over and end, and starts it again.
+func drainedLeader(t *liveTest) {
+	leader, index := t.troubleMidway(func(leader *Controller, _ int) {
+		if err := leader.Terminate(); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if err := leader.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.awaitAllDone()
+	t.awaitAnswer(index)
+	t.awaitNothingTwice()
+}
+
+// drainedOwners restarts all controllers, one after the other, while jobs run.
+func drainedOwners(t *liveTest) {
+	t.await("some tasks to complete", func(c *Cluster) bool { return completedTasks(c) >= liveTasks })
+	t.Do(func(c *Cluster) { c.submitBatch(earlyJobs, liveJobs) })
+	for _, k := range t.Controllers() {
+		if err := k.Terminate(); err != nil {
+			t.Fatal(err)
+		}
+		if err := k.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.await(k.Name()+" to own shards", func(c *Cluster) bool {
+			return slices.ContainsFunc(c.Members(), func(name string) bool { return name == k.Name() })
+		})
+	}
+	t.awaitAllDone()
+	t.awaitNothingTwice()
+}
+
+// awaitNothingTwice checks that no task of a batch job was started anew: those that end in an
+// ordinary hand-over were lost by it.
+func (t *liveTest) awaitNothingTwice() {
+	t.Helper()
+	t.Do(func(c *Cluster) {
+		for i := range liveJobs {
+			if j := c.jobs[liveJob(i)]; j.starts != liveTasks {
+				t.Errorf("%s: %d starts of %d tasks", liveJob(i), j.starts, liveTasks)
+			}
+		}
+	})
 }
 
 // killedLeader kills the leader and starts it again later.
@@ -103,9 +165,9 @@
 
 func liveJob(i int) string { return fmt.Sprintf("run-%06d", i+1) }
 
-func newLiveTest(t *testing.T, binary string) *liveTest {
+func newLiveTest(t *testing.T, binary, operator string) *liveTest {
 	dir := t.TempDir()
-	l, err := NewLive(LiveOptions{Options: Options{Seed: 1, Nodes: 3, Machines: 6, Capacity: 20}, Binary: binary, Dir: dir})
+	l, err := NewLive(LiveOptions{Options: Options{Seed: 1, Nodes: 3, Machines: 6, Capacity: 20}, Binary: binary, Operator: operator, Dir: dir})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/owners.go
+++ b/internal/standin/owners.go
@@ -107,6 +107,15 @@
 	return list
 }
 
+// Members lists the controllers that may own shards, as the state service has it.
+func (c *Cluster) Members() []string {
+	var list []string
+	for _, it := range c.state.under(bookkeeping.PrefixMembers) {
+		list = append(list, strings.TrimPrefix(it.Key, bookkeeping.PrefixMembers))
+	}
+	return list
+}
+
 // ShardOwners lists the shards and who owns them, as the state service has it.
 func (c *Cluster) ShardOwners() []string {
 	var list []string
