--- a/internal/standin/checks_test.go
+++ b/internal/standin/checks_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"brasskeel/internal/bookkeeping"
 	"brasskeel/internal/protocol"
 )
 
@@ -46,7 +47,20 @@
 		}
 		c.Calm()
 		c.Advance(2 * time.Minute)
-	}, "forgotten", "left_waiting")
+	}, "forgotten", "left_waiting", "unserved")
+	breaking(t, func(c *Cluster, _ *userJob) { // two processes give orders under one term
+		const term = 99
+		c.served(term<<termBits, "node-0#1")
+		c.served(term<<termBits|1, "node-1#1")
+	}, "two_owners")
+	breaking(t, func(c *Cluster, _ *userJob) { // a machine is in two shards
+		r := bookkeeping.Machines{Type: "small", Zone: "a", Machines: []bookkeeping.Machine{{Name: "vm-000000"}}}
+		for id := range 2 {
+			key := bookkeeping.KeyMachines(id+1, 1, uint64(id+900))
+			c.state.keys[key] = protocol.Item{Key: key, Value: bookkeeping.Encode(r), Version: 1}
+		}
+		c.Calm()
+	}, "two_shards")
 	breaking(t, func(c *Cluster, j *userJob) { // a final state that another node contradicts, asked at the same time
 		c.tell(j, 0, protocol.JobAnswer(j.spec.ID, protocol.Cancelled))
 		c.tell(j, 0, protocol.JobAnswer(j.spec.ID, protocol.Done))
