Moves of shards are told of with their times and traced on demand; renting without formatting

Need: operators could not see how long a move takes. Renting formatted a key for each machine.

Offers are keyed by a type.

--- a/cmd/brasskeel/control.go
+++ b/cmd/brasskeel/control.go
@@ -42,10 +42,11 @@
 	peers *transport.Peers
 	timer *time.Timer
 	armed time.Time
+	trace *tracer       // nil: spans are dropped
 	ready chan struct{} // closed once the core has started
 }
 
-func runControl(cfg *config.Settings, op config.Operator, level slog.Level) error {
+func runControl(cfg *config.Settings, op config.Operator, trace *tracer, level slog.Level) error {
 	// The program's share is a fraction of one core: more threads would only
 	// take turns. Half of the memory is left for the runtime and the sockets.
 	runtime.GOMAXPROCS(1)
@@ -57,7 +58,7 @@
 	slog.SetDefault(log)
 	slog.SetLogLoggerLevel(slog.LevelDebug)
 
-	c := &control{cfg: cfg, ready: make(chan struct{})}
+	c := &control{cfg: cfg, trace: trace, ready: make(chan struct{})}
 	c.node = coordination.New(cfg, op, log, rand.Uint64(), time.Now())
 	c.loop = transport.NewLoop(cfg.Listen, cfg.State, cfg.Sockets, c, log)
 	var addrs []string
@@ -105,10 +106,12 @@
 			c.loop.Post(func() { drained <- c.node.Drained() })
 			if <-drained {
 				log.Info("drained")
+				c.trace.close()
 				os.Exit(0)
 			}
 		}
 		log.Warn("not drained in time", "after", drainWithin)
+		c.trace.close()
 		os.Exit(0)
 	}()
 }
@@ -178,6 +181,7 @@
 	for i := range e.Sends {
 		c.peers.Send(e.Sends[i].To, e.Sends[i].Body)
 	}
+	c.trace.record(e.Spans)
 	if len(e.Publishes) > 0 { // once a second
 		c.node.Processor(time.Now(), processorTime())
 		c.node.PeerLinesLost(c.peers.Dropped())
--- a/cmd/brasskeel/main.go
+++ b/cmd/brasskeel/main.go
@@ -50,6 +50,7 @@
 func controlCommand() *cobra.Command {
 	c := &cobra.Command{Use: "control", Short: "Run a controller", Args: cobra.NoArgs}
 	settings, operator := settingsFlags(c)
+	traceFile := c.Flags().String("trace", "", "a file that moves of shards are traced to, or - for standard error")
 	c.RunE = func(*cobra.Command, []string) error {
 		level, err := logLevel(os.Getenv("LOG_LEVEL"))
 		if err != nil {
@@ -59,7 +60,11 @@
 		if err != nil {
 			return err
 		}
-		return runControl(s, o, level)
+		trace, err := newTracer(*traceFile)
+		if err != nil {
+			return err
+		}
+		return runControl(s, o, trace, level)
 	}
 	return c
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -41,8 +41,8 @@
 	partly    bool         // the last round ended early: unmet isn't all there is
 	asked     bool
 	requests  uint64
-	blocked   map[string]time.Time // offers without capacity
-	renting   map[string]int       // machines asked for, by offer
+	blocked   map[offerKey]time.Time // offers without capacity
+	renting   map[offerKey]int       // machines asked for, by offer
 	releasing bool
 	listing   bool
 	listedAt  time.Time // when the list was last asked for
@@ -56,7 +56,7 @@
 func (f *fleet) init(l *lead) {
 	rps := l.n.cfg.CloudRPS
 	f.budget = bookkeeping.NewBudget(rps*0.9, rps*1.5, l.n.now)
-	f.blocked, f.renting = map[string]time.Time{}, map[string]int{}
+	f.blocked, f.renting = map[offerKey]time.Time{}, map[offerKey]int{}
 }
 
 // fleetSoon wants the fleet looked at before its next turn.
--- a/internal/coordination/grow.go
+++ b/internal/coordination/grow.go
@@ -21,11 +21,11 @@
 	from   map[shapeKey]int
 	least  usage // of a task that waits
 	mem    float64
-	need   map[string]int // machines to be asked for, by offer
-	order  []offer        // those offers
-	looked int            // bins that were looked at, over all jobs
-	rented int            // machines to be asked for
-	most   int            // of them
+	need   map[offerKey]int // machines to be asked for, by offer
+	order  []offer          // those offers
+	looked int              // bins that were looked at, over all jobs
+	rented int              // machines to be asked for
+	most   int              // of them
 	rooms  map[string]*usage
 }
 
@@ -36,8 +36,12 @@
 	spot            bool
 }
 
+// keyOf makes the key once for each job: it is looked up for each look at the fleet.
 func keyOf(j *job) shapeKey {
-	return shapeKey{j.CPUs, j.GPUs, j.MemGB, j.Zone, strings.Join(j.Types, " "), j.Spot}
+	if j.shape == (shapeKey{}) {
+		j.shape = shapeKey{j.CPUs, j.GPUs, j.MemGB, j.Zone, strings.Join(j.Types, " "), j.Spot}
+	}
+	return j.shape
 }
 
 // mayGrow reports whether anything may be rented now.
@@ -116,7 +120,7 @@
 }
 
 func (l *lead) newGrowth() *growth {
-	g := &growth{l: l, offers: l.offers(), bins: l.coming(), from: map[shapeKey]int{}, need: map[string]int{}, rooms: map[string]*usage{}}
+	g := &growth{l: l, offers: l.offers(), bins: l.coming(), from: map[shapeKey]int{}, need: map[offerKey]int{}, rooms: map[string]*usage{}}
 	g.open = slices.Clone(g.bins)
 	for i, d := range l.fleet.unmet {
 		if i == 0 {
@@ -218,10 +222,11 @@
 
 // rent wants one more machine.
 func (g *growth) rent(o offer) *bin {
-	if g.need[o.key()] == 0 {
+	key := o.key()
+	if g.need[key] == 0 {
 		g.order = append(g.order, o)
 	}
-	g.need[o.key()]++
+	g.need[key]++
 	g.rented++
 	b := newBin(o)
 	g.bins = append(g.bins, b)
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -94,6 +94,8 @@
 	pressing  bool // its patience has a timer
 	image     int32
 
+	shape shapeKey // made on first use
+
 	progressTold bool // peers were told of tasks that run or are done
 
 	// held are the attempts that a shard's owner holds; a leader has them in chunks.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -60,6 +60,7 @@
 	Calls     []Call
 	Publishes []Publish
 	Sends     []Send
+	Spans     []Span
 }
 
 // Outcome is what came of a call. Answered is false when no response came:
--- a/internal/coordination/offers.go
+++ b/internal/coordination/offers.go
@@ -1,7 +1,7 @@
 package coordination
 
 import (
-	"fmt"
+	"cmp"
 	"sort"
 
 	"brasskeel/internal/protocol"
@@ -21,7 +21,28 @@
 	return o.spec.Price
 }
 
-func (o offer) key() string { return fmt.Sprintf("%s/%s/%t", o.spec.Name, o.zone, o.spot) }
+// offerKey names an offer, whatever its price is now.
+type offerKey struct {
+	typ, zone string
+	spot      bool
+}
+
+func (o offer) key() offerKey { return offerKey{o.spec.Name, o.zone, o.spot} }
+
+func (k offerKey) compare(o offerKey) int {
+	return cmp.Or(cmp.Compare(k.typ, o.typ), cmp.Compare(k.zone, o.zone), compareBool(k.spot, o.spot))
+}
+
+// compareBool has false first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
 
 func (o offer) allows(j *protocol.Job) bool {
 	return j.AllowsType(o.spec.Name) && o.spec.Fits(j) && (j.Zone == "" || j.Zone == o.zone) && (j.Spot || !o.spot)
@@ -49,7 +70,7 @@
 		if a != b {
 			return a < b
 		}
-		return open[i].key() < open[k].key()
+		return open[i].key().compare(open[k].key()) < 0
 	})
 	return open
 }
--- a/internal/coordination/peer_lines.go
+++ b/internal/coordination/peer_lines.go
@@ -30,20 +30,10 @@
 const progressKept = 30 * time.Second
 
 // jobProgress is how many tasks of a job are done and how many run.
-type jobProgress struct{ done, running int }
+type jobProgress [2]int
 
-// MarshalJSON implements json.Marshaler.
-func (p jobProgress) MarshalJSON() ([]byte, error) { return json.Marshal([2]int{p.done, p.running}) }
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (p *jobProgress) UnmarshalJSON(raw []byte) error {
-	var pair [2]int
-	if err := json.Unmarshal(raw, &pair); err != nil {
-		return err
-	}
-	p.done, p.running = pair[0], pair[1]
-	return nil
-}
+func (p jobProgress) done() int    { return p[0] }
+func (p jobProgress) running() int { return p[1] }
 
 // publish tells the peers how this node is, which jobs are over and, from a leader, how
 // the others go on.
--- a/internal/coordination/polls.go
+++ b/internal/coordination/polls.go
@@ -147,7 +147,7 @@
 		}
 	} else if p := n.peers[n.election.leader.Node]; p != nil {
 		if c, ok := p.progress[job]; ok && n.now.Sub(c.at) <= progressKept {
-			done, running = c.done, c.running
+			done, running = c.done(), c.running()
 		}
 	}
 	if running > 0 || done > 0 {
--- a/internal/coordination/shard_leader.go
+++ b/internal/coordination/shard_leader.go
@@ -16,11 +16,12 @@
 	count    int  // of shards that there are to be
 	retiring bool // they are to be given up: the leader is to serve all machines again
 	planner  *shard.Planner
-	links    map[string]*ownerLink  // by node
-	heard    map[shard.ID]time.Time // since when the owner of a shard is heard without a break
-	writing  bool                   // a change of owners is under way
-	oddSince map[shard.ID]time.Time // since when a record can't be read
-	oddSeen  map[shard.ID]uint64    // that record's version
+	links    map[string]*ownerLink   // by node
+	heard    map[shard.ID]time.Time  // since when the owner of a shard is heard without a break
+	moves    map[shard.ID]*shardMove // under way
+	writing  bool                    // a change of owners is under way
+	oddSince map[shard.ID]time.Time  // since when a record can't be read
+	oddSeen  map[shard.ID]uint64     // that record's version
 }
 
 // ownerQuiet is after how long without a line an owner's word on its workers counts for
@@ -32,7 +33,7 @@
 	if sh := l.n.op.Sharding; sh != nil {
 		c = sh.ShardsPerController * (1 + len(l.n.cfg.Peers))
 	}
-	return &shardLeader{l: l, s: s, count: c, retiring: retiring, planner: shard.NewPlanner(), links: map[string]*ownerLink{},
+	return &shardLeader{l: l, s: s, count: c, retiring: retiring, planner: shard.NewPlanner(), links: map[string]*ownerLink{}, moves: map[shard.ID]*shardMove{},
 		heard: map[shard.ID]time.Time{}, oddSince: map[shard.ID]time.Time{}, oddSeen: map[shard.ID]uint64{}}
 }
 
@@ -58,6 +59,7 @@
 			delete(sl.heard, id)
 		}
 	}
+	sl.followMoves()
 	sl.plan()
 }
 
--- a/internal/coordination/shard_leader_plan.go
+++ b/internal/coordination/shard_leader_plan.go
@@ -33,6 +33,7 @@
 	for _, d := range decisions {
 		if c := sl.s.table.Intend(d.ID, d.To, sl.authority()); c != nil {
 			n.log.Info("moving shard", "shard", d.ID, "to", d.To.Node, "why", d.Why.String())
+			sl.beginMove(d)
 			sl.write(c)
 			return
 		}
--- a/internal/coordination/shard_leader_seen.go
+++ b/internal/coordination/shard_leader_seen.go
@@ -44,6 +44,7 @@
 			continue
 		}
 		k.told[id] = term
+		sl.moveServed(k, id)
 		for _, m := range sl.l.fleetList {
 			if m.shard == id && m.served() {
 				k.listed[m] = true
@@ -137,6 +138,7 @@
 		m.session = w.Session
 		l.sessionBegan(m)
 	}
+	sl.moveAnswered(m.shard)
 	m.heard, m.answered = n.now, n.now
 	if w.Reached {
 		l.machineReached(m)
