Shards turned on and off in a running fleet; blind owners don't pass shards round

Need: nothing showed that the setting can be changed on a running fleet, and a shard whose machines nobody reaches went from one controller to the next every 15 s. Change: a scenario for the first, a minute's rest for the second, with a test.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -126,6 +126,8 @@
 	}
 	for _, bad := range []string{`{"imageWeight": "1"}`, `{"nope": 1}`, `[]`, `{"idleSeconds": -1}`, `{`,
 		`null`, `{} {}`, `{"ImageWeight": 1}`, `{"imageWeight": 1001}`, `{"imageWeight": null}`, `{"leaderLeaseSeconds": 0.5}`,
+		`{"sharding": true}`, `{"sharding": {"shardsPerController": 0}}`, `{"sharding": {"shardsPerController": 17}}`,
+		`{"sharding": {"shardsPerController": 1.5}}`, `{"sharding": {"nope": 1}}`, `{"sharding": {"drain": "yes"}}`,
 		`{"spot": 1}`, `{"headroomShare": [1]}`} {
 		if err := ParseOperator([]byte(bad), &o); err == nil {
 			t.Errorf("%s is taken", bad)
--- a/internal/coordination/shard/planner.go
+++ b/internal/coordination/shard/planner.go
@@ -264,7 +264,9 @@
 	case why == ReasonDrain, why == ReasonSilent, s.Machines == 0:
 		return true
 	case why == ReasonBlind:
-		return now.Sub(p.movedAt[s.ID]) >= settledFor // it may be the machines' fault
+		// It may be the machines' fault: where nobody reaches them, the shard would go from
+		// one controller to the next for ever.
+		return now.Sub(p.movedAt[s.ID]) >= restAfter
 	}
 	return now.Sub(l.from) >= settledFor
 }
--- a/internal/coordination/shard/shard_test.go
+++ b/internal/coordination/shard/shard_test.go
@@ -171,6 +171,26 @@
 	}
 }
 
+// A shard whose machines nobody reaches doesn't go from one controller to the next.
+func TestBlindOwners(t *testing.T) {
+	p := NewPlanner()
+	controllers, shards := fleet(0.4, 0.4, 0.4)
+	moves := 0
+	for i := range 60 {
+		for k := range controllers { // whoever has it reaches few of its workers
+			controllers[k].Blind = controllers[k].Member == shards[0].Owner
+			controllers[k].Fit = !controllers[k].Blind
+		}
+		for _, d := range p.Plan(start.Add(time.Duration(i)*time.Second), controllers, shards[:1]) {
+			shards[0].Owner = d.To
+			moves++
+		}
+	}
+	if moves != 1 {
+		t.Errorf("moved %d times in a minute", moves)
+	}
+}
+
 // Lines that are cut hold all that was told, in order, each within its room.
 func TestCut(t *testing.T) {
 	const room = 4000
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -181,9 +181,7 @@
 		now: begin, begin: begin, rng: rand.New(rand.NewPCG(o.Seed, 7)), workers: map[string]*worker{},
 		cost: o.Cost, jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}, kept: map[string][][]byte{},
 		servers: map[uint64]string{}, gaps: newGaps(), streams: map[link]*stream{}, operator: config.DefaultOperator()}
-	if o.Shards > 0 {
-		c.operator.Sharding = &config.Sharding{ShardsPerController: o.Shards}
-	}
+	c.setShards(o.Shards)
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
--- a/internal/standin/owners.go
+++ b/internal/standin/owners.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/config"
 	"brasskeel/internal/coordination/shard"
 	"brasskeel/internal/protocol"
 )
@@ -22,6 +23,15 @@
 // troubles have been over for settleTime.
 func (c *Cluster) unservedMost() time.Duration { return c.settings.WorkerLease / 2 }
 
+// setShards says into how many shards for each controller machines are divided by controllers
+// that start from now on; 0 for none.
+func (c *Cluster) setShards(perController int) {
+	c.operator.Sharding = nil
+	if perController > 0 {
+		c.operator.Sharding = &config.Sharding{ShardsPerController: perController}
+	}
+}
+
 // life names a node's process, and not another one of the same node; nothing where that
 // can't be told, as of processes of their own.
 func (n *node) life() string {
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -315,6 +315,10 @@
 	case "drained":
 		// drained NODE: whether it neither leads nor serves workers.
 		return fmt.Sprint(r.c.nodes[r.node(t, d, first(t, d))].core.Drained())
+	case "setting":
+		// setting shards=N: of controllers that start from now on; 0 for none.
+		r.c.setShards(int(number(t, d, "shards", "0")))
+		return ""
 	case "shards":
 		return strings.Join(r.c.ShardOwners(), "\n")
 	case "owners":
