Shards: refused peers and then a leader without workers cost no lease

Cause: a leader that didn't hear an owner took all of its shards, although its workers were served; and when it then lost its own workers, those taken lately were held back by a minute's rest. A second cause showed in the scenarios: a controller that neither serves a worker nor leads sent it to the leader again and again, whom it couldn't reach, so that it never tried its owner.

Change: owners that hear no leader show through their member record whether they reach their workers (one change in 3 s, none while the leader is heard), and keep a shard. Blind owners' shards move at once, to anyone who hasn't failed with that zone for a minute. A leader that reaches neither workers nor owners gives the lead to one who does. Cuts are judged by owner and zone. Workers that come back from the leader are told no name.

--- a/internal/coordination/leave.go
+++ b/internal/coordination/leave.go
@@ -1,12 +1,6 @@
 package coordination
 
-import (
-	"time"
-
-	"brasskeel/internal/bookkeeping"
-	"brasskeel/internal/coordination/shard"
-	"brasskeel/internal/protocol"
-)
+import "time"
 
 // leaveStep is how often a controller that is to be drained looks whether it can give more
 // up, and leavePause how long it doesn't stand for election after it gave the lead up.
@@ -63,24 +57,11 @@
 	}
 }
 
-// tellDraining writes the member's record anew, bound to the same lease.
+// tellDraining lets the member's record say that it drains, however often it must be written.
 func (s *sharding) tellDraining(own *shardOwner) {
-	n := s.n
-	key := bookkeeping.KeyMember(n.cfg.Name)
-	_, version := s.table.Member(n.cfg.Name)
-	value := bookkeeping.Encode(shard.MemberRecord{Member: s.member, Zone: n.cfg.Zone, Draining: true})
-	n.storeTxn(&protocol.Txn{
-		If:   []protocol.Condition{{Key: key, Version: version}},
-		Then: []protocol.Op{{Put: key, Value: value, Lease: own.right.lease}},
-	}, func(res txnResult, revision uint64, _ []string) {
-		switch {
-		case s.own != own:
-			// It left, and joins as a draining member.
-		case res == txnApplied:
-			s.put(key, protocol.Item{Key: key, Value: value, Version: revision})
-			s.changed()
-		default:
-			n.after(300*time.Millisecond, func() {
+	s.writeMember(own, func(applied bool) {
+		if !applied {
+			s.n.after(300*time.Millisecond, func() {
 				if s.own == own {
 					s.tellDraining(own)
 				}
--- a/internal/coordination/peer_lines.go
+++ b/internal/coordination/peer_lines.go
@@ -61,7 +61,7 @@
 
 // peerMessage begins a message with what each one tells.
 func (n *Node) peerMessage() peerMessage {
-	m := peerMessage{Node: n.cfg.Name, Unfit: n.unfit(), StoreOK: !n.storeDown() && n.now.Sub(n.storeOK) < 5*time.Second}
+	m := peerMessage{Node: n.cfg.Name, Unfit: n.unfit(), Blind: n.blind(), StoreOK: !n.storeDown() && n.now.Sub(n.storeOK) < 5*time.Second}
 	if n.lead != nil {
 		m.Term = n.lead.term
 	}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -13,6 +13,7 @@
 	at       time.Time
 	storeOK  bool
 	unfit    bool   // it led lately and reached too few machines
+	blind    bool   // it lately lost most of the workers that it served
 	term     uint64 // of a leader
 	progress map[string]heardProgress
 	pruned   time.Time // when old progress was last dropped
@@ -26,6 +27,7 @@
 	Node     string                 `json:"node"`
 	StoreOK  bool                   `json:"storeOK"`
 	Unfit    bool                   `json:"unfit,omitempty"`
+	Blind    bool                   `json:"blind,omitempty"`     // of an owner of shards
 	Term     uint64                 `json:"term,omitempty"`      // of a leader
 	Progress map[string]jobProgress `json:"progress,omitempty"`  // of some jobs
 	Done     map[string]int         `json:"done,omitempty"`      // jobs, and their tasks done
@@ -46,7 +48,7 @@
 			p = &peerView{}
 			n.peers[m.Node] = p
 		}
-		p.at, p.storeOK, p.unfit = now, m.StoreOK, m.Unfit
+		p.at, p.storeOK, p.unfit, p.blind = now, m.StoreOK, m.Unfit, m.Blind
 		p.takeProgress(&m, now)
 		for job, done := range m.Done {
 			n.admission.setFinal(job, protocol.Done, done)
--- a/internal/coordination/probes.go
+++ b/internal/coordination/probes.go
@@ -65,6 +65,10 @@
 func (o *owner) reachAfter() time.Duration { return 2*o.n.cfg.ReportInterval + time.Second }
 func (o *owner) deafAfter() time.Duration  { return 3*o.n.cfg.ReportInterval + 4*time.Second }
 
+// lostAfterFails is how many calls in a row a worker leaves unanswered that counts as lost to
+// who calls it.
+const lostAfterFails = 2
+
 // lostReport is what a report costs that gets no answer: the worker waits for it and tries
 // the next controller.
 const lostReport = 5 * time.Second
--- /dev/null
+++ b/internal/coordination/shard/failures.go
@@ -0,0 +1,96 @@
+package shard
+
+import "time"
+
+// failure is a member that lost most of its workers while it served machines of a zone.
+type failure struct {
+	member Member
+	zone   string
+}
+
+// failures remembers when members last lost their workers, by zone. By time alone a shard
+// rested for a minute wherever it was: an owner that had just been given shards kept them
+// when it lost its workers, until their leases ended. By this a shard goes to everybody who
+// hasn't lately failed with its zone, and to nobody twice in a row: where no controller
+// reaches the machines, it isn't passed round.
+type failures map[failure]time.Time
+
+// lately reports whether a member lost the workers of a zone not long ago.
+func (f failures) lately(now time.Time, m Member, zone string) bool {
+	at, ok := f[failure{m, zone}]
+	return ok && now.Sub(at) < failedFor
+}
+
+// noteBlind remembers who doesn't reach its workers now.
+func (p *Planner) noteBlind(now time.Time, v *view) {
+	for k, at := range p.failed {
+		if now.Sub(at) >= failedFor {
+			delete(p.failed, k)
+		}
+	}
+	for i := range v.shards {
+		s := &v.shards[i]
+		if c := v.controller(s.Owner); !s.Vacant && c != nil && c.Blind && s.Machines > 0 {
+			p.failed[failure{c.Member, s.Zone}] = now
+		}
+	}
+}
+
+// mayTake reports whether a controller may be given a shard that is to leave its owner. A
+// blind owner's go to one that isn't heard, too, if the state service shows that it reaches
+// its workers: where controllers can't talk to each other, the leader may be the blind one.
+func (p *Planner) mayTake(now time.Time, c *Controller, s *Shard, why Reason) bool {
+	if c.Member == s.Owner || p.failed.lately(now, c.Member, s.Zone) {
+		return false
+	}
+	return c.Fit || why == ReasonBlind && c.Vouched
+}
+
+// Untried reports whether another controller than a zone's present owner may reach the
+// zone's workers, for all that is known.
+func (p *Planner) Untried(now time.Time, controllers []Controller, owner Member, zone string) bool {
+	s := Shard{Owner: owner, Zone: zone}
+	for i := range controllers {
+		if c := &controllers[i]; !c.Draining && p.mayTake(now, c, &s, ReasonBlind) {
+			return true
+		}
+	}
+	return false
+}
+
+// keepsUnheard reports whether an owner keeps a shard although the leader doesn't hear it.
+// One that reaches its workers all the same isn't emptied, and whoever takes from it must
+// have the processor for it: silence between controllers is no reason to put a whole fleet
+// on one of them.
+func (v *view) keepsUnheard(s *Shard, to *Controller, why Reason) bool {
+	c := v.controller(s.Owner)
+	if why != ReasonSilent || !c.Vouched || s.Machines == 0 {
+		return false
+	}
+	return v.staying(s.Owner) <= 1 || v.shareWith(to, s) > vouchedShare
+}
+
+// staying counts a member's shards with machines that aren't about to leave it.
+func (v *view) staying(m Member) int {
+	count := 0
+	for i := range v.shards {
+		if s := &v.shards[i]; !s.Vacant && !s.Moving && s.Owner == m && s.Machines > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// shareWith is about which share of its processor a controller would use with a shard more.
+// Where no load is known it is the part of the fleet that it would serve.
+func (v *view) shareWith(c *Controller, s *Shard) float64 {
+	machines := float64(v.machines[c.Member] + s.Machines)
+	if c.Load.Machines > 0 && c.Load.Share > 0 {
+		return c.Load.Share * machines / float64(c.Load.Machines)
+	}
+	all := 0
+	for i := range v.shards {
+		all += v.shards[i].Machines
+	}
+	return machines / float64(max(1, all))
+}
--- a/internal/coordination/shard/planner.go
+++ b/internal/coordination/shard/planner.go
@@ -26,7 +26,10 @@
 	Blind bool
 	// Silent is how long nothing was heard of it, its lease notwithstanding.
 	Silent time.Duration
-	Load   Load
+	// Vouched is whether the state service showed lately that it reaches its workers,
+	// although the leader doesn't hear it.
+	Vouched bool
+	Load    Load
 }
 
 // Shard is a shard as the planner sees it.
@@ -68,6 +71,8 @@
 	movesAtOnce  = 2                // of shards with machines
 	movePause    = 20 * time.Second // between moves for balance
 	restAfter    = 60 * time.Second // before a shard moves again for balance
+	failedFor    = 60 * time.Second // a member that lost a zone's workers is given no other's there
+	vouchedShare = 0.5              // of a processor, up to which shards of an unheard owner are taken
 	settledFor   = 15 * time.Second // a reason must last that long to move a working shard
 	silentFor    = 6 * time.Second  // an owner isn't heard for so long that its shards move
 	shareGap     = 0.25             // between the busiest and the idlest, to move for balance
@@ -82,6 +87,7 @@
 	movedAt map[ID]time.Time
 	balance time.Time        // of the last move for balance
 	since   map[ID]lastingly // why a shard should move
+	failed  failures
 }
 
 // lastingly is a reason and since when it holds.
@@ -92,13 +98,14 @@
 
 // NewPlanner is a planner that knows of no moves yet.
 func NewPlanner() *Planner {
-	return &Planner{movedAt: map[ID]time.Time{}, since: map[ID]lastingly{}}
+	return &Planner{movedAt: map[ID]time.Time{}, since: map[ID]lastingly{}, failed: failures{}}
 }
 
 // Plan decides what is to change now. The same arguments after the same calls give the same
 // decisions.
 func (p *Planner) Plan(now time.Time, controllers []Controller, shards []Shard) []Decision {
 	v := newView(controllers, shards)
+	p.noteBlind(now, v)
 	decisions := p.fillVacant(now, v)
 	decisions = append(decisions, p.leave(now, v)...)
 	return append(decisions, p.level(now, v)...)
@@ -150,13 +157,13 @@
 	return Decision{Assignment{s.ID, to}, why}
 }
 
-// best is the controller that a shard is best given to, nil without any. With mayBeUnfit
-// set, one that is alive will do: better than nobody.
-func (v *view) best(s *Shard, not Member, mayBeUnfit bool) *Controller {
+// best is the controller that a shard is best given to among those that will do, nil without
+// any.
+func (v *view) best(s *Shard, willDo func(c *Controller) bool) *Controller {
 	var best *Controller
 	for i := range v.controllers {
 		c := &v.controllers[i]
-		if c.Member == not || !c.Fit && !mayBeUnfit {
+		if !willDo(c) {
 			continue
 		}
 		if best == nil || v.compare(s, c, best) < 0 {
@@ -206,7 +213,8 @@
 		if !s.Vacant {
 			continue
 		}
-		if c := v.best(s, Member{}, true); c != nil {
+		// One that is alive will do, fit or not: better than nobody.
+		if c := v.best(s, func(*Controller) bool { return true }); c != nil {
 			list = append(list, v.give(s, c.Member, ReasonVacant))
 			p.movedAt[s.ID] = now
 		}
@@ -220,8 +228,8 @@
 	for i := range v.shards {
 		s := &v.shards[i]
 		why := v.whyLeave(s)
-		to := v.best(s, s.Owner, false)
-		if why == 0 || to == nil || to.Draining || why == ReasonZone && to.Zone != s.Zone {
+		to := v.best(s, func(c *Controller) bool { return p.mayTake(now, c, s, why) })
+		if why == 0 || to == nil || to.Draining || why == ReasonZone && to.Zone != s.Zone || v.keepsUnheard(s, to, why) {
 			delete(p.since, s.ID)
 			continue
 		}
@@ -243,10 +251,10 @@
 		return 0
 	case c.Draining:
 		return ReasonDrain
-	case c.Silent > silentFor:
-		return ReasonSilent
 	case c.Blind:
 		return ReasonBlind
+	case c.Silent > silentFor:
+		return ReasonSilent
 	case s.Zone != "" && c.Zone != s.Zone:
 		return ReasonZone
 	}
@@ -260,13 +268,8 @@
 		l = lastingly{why, now}
 		p.since[s.ID] = l
 	}
-	switch {
-	case why == ReasonDrain, why == ReasonSilent, s.Machines == 0:
+	if why == ReasonDrain || why == ReasonSilent || why == ReasonBlind || s.Machines == 0 {
 		return true
-	case why == ReasonBlind:
-		// It may be the machines' fault: where nobody reaches them, the shard would go from
-		// one controller to the next for ever.
-		return now.Sub(p.movedAt[s.ID]) >= restAfter
 	}
 	return now.Sub(l.from) >= settledFor
 }
@@ -354,6 +357,7 @@
 	for i := range v.shards {
 		s := &v.shards[i]
 		if s.Owner != busiest.Member || s.Moving || s.Vacant || s.Machines == 0 || now.Sub(p.movedAt[s.ID]) < restAfter ||
+			p.failed.lately(now, idlest.Member, s.Zone) ||
 			s.Zone != "" && s.Zone != idlest.Zone && s.Zone == busiest.Zone {
 			continue
 		}
--- a/internal/coordination/shard/records.go
+++ b/internal/coordination/shard/records.go
@@ -27,8 +27,23 @@
 	Member
 	Zone     string `json:"zone"`
 	Draining bool   `json:"draining,omitempty"` // it wants to own nothing
+	// Reach is written while no leader is heard, and anew every few seconds.
+	Reach *Reach `json:"reach,omitempty"`
 }
 
+// Reach is what a member shows through the state service of the workers that it serves.
+type Reach struct {
+	Count   uint64 `json:"n"`              // of these accounts, from 1
+	Workers int    `json:"w"`              // that were heard by it
+	Lost    int    `json:"lost,omitempty"` // of them, those that don't answer its calls
+}
+
+// leastToJudge is how many workers must be known for most of them to say anything.
+const leastToJudge = 3
+
+// Blind reports whether most of some workers are lost.
+func Blind(workers, lost int) bool { return workers >= leastToJudge && lost*2 > workers }
+
 // Grant is the right to serve the workers of a shard.
 type Grant struct {
 	Member
--- a/internal/coordination/shard_feed.go
+++ b/internal/coordination/shard_feed.go
@@ -28,10 +28,11 @@
 	due     bool               // a line waits for its time
 	blocked bool               // more waits until lines are acknowledged
 	sentAt  time.Time
+	heard   time.Time // when a leader last told something
 }
 
 func newOwnerFeed(o *shardOwner) *ownerFeed {
-	return &ownerFeed{o: o, workers: map[*machine]bool{}}
+	return &ownerFeed{o: o, workers: map[*machine]bool{}, heard: o.n.now}
 }
 
 func (f *ownerFeed) tellWorker(m *machine) { f.workers[m] = true; f.soon() }
@@ -182,6 +183,7 @@
 	if in.Epoch.Member != f.o.sharding.member {
 		return // meant for an earlier life
 	}
+	f.heard = f.o.n.now
 	f.follow(from, in.Epoch.Term)
 	if !f.link.Take(in.Header) {
 		return
@@ -294,6 +296,7 @@
 
 // status tells how this owner and its workers are.
 func (o *shardOwner) status() {
+	o.showReach()
 	f := o.feed
 	if f.link == nil {
 		return
--- a/internal/coordination/shard_guards_test.go
+++ b/internal/coordination/shard_guards_test.go
@@ -140,3 +140,54 @@
 		t.Errorf("answers %+v", e.Replies)
 	}
 }
+
+// The silence of workers that a blind owner tells of isn't theirs while another controller may
+// reach them, and is once each has tried.
+func TestSilenceUnderABlindOwner(t *testing.T) {
+	l, a := shardedLead(t)
+	l.shards.take("n1", seen(l, "n1", 5, 1))
+	m := a.machine
+	m.probeFails, m.heard, m.answered, m.reached, m.firstHeard = lostAfterFails, l.n.now, l.n.now, l.n.now, l.n.now
+	owner, other := l.shards.links["n1"], l.shards.links["n2"]
+	later := l.n.now.Add(l.releaseAfter() + time.Second)
+	silent := func(untried bool) bool {
+		l.n.now = later
+		owner.heard, other.heard, l.shards.heard[1] = later, later, later.Add(-time.Minute)
+		owner.blind, owner.untried = true, map[string]bool{m.zone: untried}
+		return len(l.survey().silent) > 0
+	}
+	if silent(true) {
+		t.Error("given up although another controller may reach it")
+	}
+	if !silent(false) {
+		t.Error("kept although every controller has tried")
+	}
+}
+
+// A worker that comes back from the leader tries all controllers in turn.
+func TestWorkersThatDoNotReachTheLeader(t *testing.T) {
+	o := ownerOf(t, 7)
+	n, s := o.n, &o.sharding.sendOn
+	*s = newSendOn(n)
+	n.election.leaderVersion, n.election.leader = 1, bookkeeping.Leader{Node: "n1", Term: 9}
+	n.peers["n1"] = &peerView{at: n.now}
+	if got := s.to("vm-7"); got != "n1" {
+		t.Fatalf("sent to %q", got)
+	}
+	n.now = n.now.Add(lostReport)
+	n.peers["n1"].at = n.now
+	if got := s.to("vm-7"); got != "" {
+		t.Errorf("sent to %q again", got)
+	}
+	if got := s.to("vm-8"); got != "n1" {
+		t.Errorf("another one is sent to %q", got)
+	}
+	n.peers["n1"].blind = true
+	if got := s.to("vm-9"); got != "" {
+		t.Errorf("sent to %q, which lost its workers", got)
+	}
+	n.peers["n1"].blind, n.now = false, n.now.Add(leaderHeard+time.Second)
+	if got := s.to("vm-9"); got != "" {
+		t.Errorf("sent to %q, which isn't heard", got)
+	}
+}
--- a/internal/coordination/shard_leader.go
+++ b/internal/coordination/shard_leader.go
@@ -42,12 +42,14 @@
 	n := sl.l.n
 	for _, m := range sl.s.table.Members() {
 		k := sl.links[m.Node]
-		if k != nil && k.member == m.Member {
-			continue
+		if k == nil || k.member != m.Member {
+			k = &ownerLink{member: m.Member, link: shard.NewLink(shard.Epoch{Term: sl.l.term, Member: m.Member}),
+				listed: map[*machine]bool{}, told: map[shard.ID]uint64{}, heard: n.now}
+			sl.links[m.Node] = k
+			sl.soon(k)
 		}
-		sl.links[m.Node] = &ownerLink{member: m.Member, link: shard.NewLink(shard.Epoch{Term: sl.l.term, Member: m.Member}),
-			listed: map[*machine]bool{}, told: map[shard.ID]uint64{}, heard: n.now}
-		sl.soon(sl.links[m.Node])
+		k.noteReach(n.now, m)
+		k.reachKnown = true
 	}
 	for node := range sl.links {
 		if m, _ := sl.s.table.Member(node); m.Node == "" {
@@ -79,6 +81,9 @@
 // without one, silence of the machine says nothing.
 func (sl *shardLeader) heardSince(m *machine) (time.Time, bool) {
 	since, ok := sl.heard[m.shard]
+	if ok && sl.relieved(m) {
+		return time.Time{}, false
+	}
 	k := sl.owner(m.shard)
 	if !ok || k == nil || sl.l.n.now.Sub(k.heard) > ownerQuiet {
 		delete(sl.heard, m.shard)
--- a/internal/coordination/shard_leader_plan.go
+++ b/internal/coordination/shard_leader_plan.go
@@ -122,7 +122,10 @@
 		c := shard.Controller{Member: m.Member, Zone: m.Zone, Draining: m.Draining}
 		if k := sl.links[m.Node]; k != nil && k.member == m.Member {
 			c.Load, c.Blind, c.Silent = k.status.Load, k.blind, n.now.Sub(k.heard)
-			c.Fit = !k.blind && c.Silent <= ownerQuiet && c.Load.Lag <= lagLate
+			if vouched, blind, shown := k.reaches(n.now); shown {
+				c.Vouched, c.Blind = vouched, blind
+			}
+			c.Fit = !c.Blind && c.Silent <= ownerQuiet && c.Load.Lag <= lagLate
 		}
 		if sl.retiring && m.Node != n.cfg.Name {
 			c.Draining = true
--- a/internal/coordination/shard_leader_seen.go
+++ b/internal/coordination/shard_leader_seen.go
@@ -43,6 +43,8 @@
 		if k.told[id] != 0 {
 			continue
 		}
+		// The silence that another owner told of isn't this one's.
+		sl.heard[id] = sl.l.n.now
 		k.told[id] = term
 		sl.moveServed(k, id)
 		for _, m := range sl.l.fleetList {
@@ -204,7 +206,7 @@
 			}
 			continue
 		}
-		if m.up && w.Fails >= 2 {
+		if m.up && (w.Fails >= lostAfterFails || time.Duration(w.Unreported)*time.Millisecond > n.unansweredMost()) {
 			lost++
 		}
 		m.probeFails = w.Fails
@@ -219,5 +221,9 @@
 			l.probeFailed(m)
 		}
 	}
-	k.blind = known > 2 && lost*2 > known
+	k.blind = shard.Blind(known, lost)
+	sl.noteUntried(k)
+	if k.blind {
+		sl.plan()
+	}
 }
--- a/internal/coordination/shard_leader_tell.go
+++ b/internal/coordination/shard_leader_tell.go
@@ -21,6 +21,11 @@
 	status  shard.Status
 	late    map[string]*shard.Late // of the parts of a status that came so far
 	blind   bool                   // it doesn't reach most of its workers
+	untried map[string]bool        // zones whose workers others may reach, of a blind owner
+
+	reach      shard.Reach // that the state service showed last
+	reachKnown bool        // its record was looked at before
+	reachAt    time.Time   // when it was first seen; zero where it may be old
 }
 
 // deliver tells the owner of an attempt's machine what is wanted of it.
--- a/internal/coordination/shard_owner.go
+++ b/internal/coordination/shard_owner.go
@@ -24,6 +24,8 @@
 	loading  bool                // the machines' records are being read
 	again    bool                // and are to be read once more: a shard was taken meanwhile
 	answered int                 // reports since the last status
+	shownAt  time.Time           // when its member record last showed its reach
+	accounts uint64              // times that it did
 }
 
 // heldShard is a shard that this owner serves.
--- a/internal/coordination/sharding.go
+++ b/internal/coordination/sharding.go
@@ -17,13 +17,17 @@
 	generation int  // of the watch; an older one's news is dropped
 	draining   bool
 	joining    bool
+	writing    bool         // the member's record is being written anew
+	reach      *shard.Reach // that its record shows
 	member     shard.Member // zero without a lease
 	own        *shardOwner  // nil without a lease
+	sendOn     sendOn
+	blindUntil time.Time // until when workers are better not sent here
 }
 
 // startSharding makes the node one that may own shards.
 func (n *Node) startSharding(draining bool) {
-	n.sharding = &sharding{n: n, table: shard.NewTable(), draining: draining}
+	n.sharding = &sharding{n: n, table: shard.NewTable(), draining: draining, sendOn: newSendOn(n)}
 	n.sharding.readTable()
 	n.every(time.Second, n.sharding.tellStatus)
 }
@@ -192,7 +196,7 @@
 func (s *sharding) leave(why string) {
 	s.n.log.Warn("owning no shard any more", "incarnation", s.member.Incarnation, "why", why)
 	s.own.ended = true
-	s.own, s.member = nil, shard.Member{}
+	s.own, s.member, s.reach = nil, shard.Member{}, nil
 }
 
 // report answers a worker, or tells it who does.
@@ -211,7 +215,7 @@
 		return
 	}
 	if n.lead == nil && !n.leaderDoubtful() || n.storeDown() {
-		n.reply(id, 421, protocol.Redirect(n.leaderName()))
+		n.reply(id, 421, protocol.Redirect(s.sendOn.to(r.Machine)))
 		return
 	}
 	n.holdForLeader(id, body)
@@ -229,6 +233,7 @@
 // tellStatus tells the leader every second how this owner and its workers are.
 func (s *sharding) tellStatus() {
 	if s.own != nil {
+		s.noteOwnReach()
 		s.own.status()
 	}
 }
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -29,7 +29,7 @@
 	s := l.survey()
 	l.doubtful = s.doubtful
 	l.probeSome(s.ask)
-	if l.shards == nil && l.givesWay(s) {
+	if l.shards == nil && l.givesWay(s) || l.shards != nil && l.shards.givesWay() {
 		return
 	}
 	l.giveUp(s)
@@ -51,7 +51,7 @@
 type survey struct {
 	silent   []*machine // to be given up
 	ask      []*machine // to be asked
-	zones    map[string]*reach
+	groups   map[reachGroup]*reach
 	doubtful map[string]bool
 	// Of those that were up for this leader, those that don't answer calls.
 	known, lost int
@@ -61,7 +61,7 @@
 }
 
 func (l *lead) survey() *survey {
-	s := &survey{zones: map[string]*reach{}, doubtful: map[string]bool{}}
+	s := &survey{groups: map[reachGroup]*reach{}, doubtful: map[string]bool{}}
 	for _, m := range l.fleetList {
 		since, expected := l.silentSince(m)
 		if m.inherited && expected { // others may be booting yet
@@ -110,10 +110,11 @@
 
 // add takes in a machine that was silent for a time.
 func (s *survey) add(l *lead, m *machine, silent time.Duration) {
-	z := s.zones[m.zone]
+	key := l.reachGroup(m)
+	z := s.groups[key]
 	if z == nil {
 		z = &reach{}
-		s.zones[m.zone] = z
+		s.groups[key] = z
 	}
 	z.machines++
 	if silent > l.suspectAfter() || m.probeFails > 0 {
@@ -124,7 +125,7 @@
 	}
 	if m.up {
 		s.known++
-		if m.probeFails >= 2 {
+		if m.probeFails >= lostAfterFails {
 			s.lost++
 		}
 	}
@@ -169,7 +170,7 @@
 			l.endSilent(m)
 		}
 		quiet := n.now.Sub(latest(m.heard, m.reached, l.deaf, l.elected))
-		if s.zones[m.zone].cut() && quiet <= n.cfg.WorkerLease {
+		if s.groups[l.reachGroup(m)].cut() && quiet <= n.cfg.WorkerLease {
 			continue
 		}
 		if m.releasing || !h.keep(m, quiet) {
@@ -203,10 +204,21 @@
 	return slices.MaxFunc(times, time.Time.Compare)
 }
 
-// reach is how many machines of a zone answer.
+// reachGroup is machines that a cut would part from their controller together: those of a
+// zone that one controller serves.
+type reachGroup struct{ owner, zone string }
+
+func (l *lead) reachGroup(m *machine) reachGroup {
+	if l.shards == nil {
+		return reachGroup{zone: m.zone}
+	}
+	return reachGroup{l.shards.s.ownerName(m.shard), m.zone}
+}
+
+// reach is how many machines of a group answer.
 type reach struct{ machines, late int }
 
-// cut reports whether the silence of a zone's machines speaks for a cut rather
+// cut reports whether the silence of a group's machines speaks for a cut rather
 // than for their deaths: most of them are late at once. Reports come at different
 // times, so those that are only late by now count, too.
 func (r *reach) cut() bool { return r.late > 2 && r.late*5 > r.machines*3 }
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -419,7 +419,32 @@
 			}
 		}
 	}
+	// Controllers refuse each other's connections, and the leader loses its workers: before,
+	// meanwhile, or right after.
+	refusedAndBlind := func() {
+		for _, n := range c.nodes {
+			for _, p := range c.nodes {
+				if n != p {
+					c.ResetOneWay(n.name, p.name)
+				}
+			}
+		}
+		later(30, c.Heal)
+		later(35, func() {
+			i := c.Leader()
+			if i < 0 {
+				return
+			}
+			for _, h := range c.cloud.hosts {
+				c.Cut(c.nodes[i].name, h.name, rng.IntN(2) == 0)
+			}
+			later(40, c.Heal)
+		})
+	}
 	for range 60 {
+		if shards > 0 && rng.IntN(12) == 0 {
+			refusedAndBlind()
+		}
 		if shards > 0 && rng.IntN(4) == 0 {
 			n := c.nodes[rng.IntN(len(c.nodes))]
 			if n.core != nil {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -61,6 +61,7 @@
 // die ends the worker and its tasks.
 func (w *worker) die() {
 	w.dead = true
+	w.c.noteGap(w.c.now.Sub(w.lastAnswer)) // that it ended with
 	for _, t := range w.tasks {
 		w.leaveMachine(t)
 	}
