--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		known++
-		if !m.reconciled && m.probeFails < askTwice && !(listed && m.addr == "") {
+		if !m.reconciled && m.probeFails < askTwice && !(listed && m.addr == "") && !l.nobodyTells(m) {
 			missing++
 		}
 	}
--- a/internal/coordination/shard/failures.go
+++ b/internal/coordination/shard/failures.go
@@ -58,16 +58,23 @@
 	return false
 }
 
-// keepsUnheard reports whether an owner keeps a shard although the leader doesn't hear it.
-// One that reaches its workers all the same isn't emptied, and whoever takes from it must
-// have the processor for it: silence between controllers is no reason to put a whole fleet
-// on one of them.
-func (v *view) keepsUnheard(s *Shard, to *Controller, why Reason) bool {
-	c := v.controller(s.Owner)
-	if why != ReasonSilent || !c.Vouched || s.Machines == 0 {
-		return false
-	}
-	return v.staying(s.Owner) <= 1 || v.shareWith(to, s) > vouchedShare
+// servesUnheard reports whether a shard would leave its owner only because the leader doesn't
+// hear it, while the state service shows that it reaches its workers.
+func (v *view) servesUnheard(s *Shard, why Reason) bool {
+	return why == ReasonSilent && s.Machines > 0 && v.controller(s.Owner).Vouched
+}
+
+// carries reports whether a controller has the processor for a shard of an owner that serves
+// unheard: silence between controllers is no reason to put a whole fleet on one of them.
+func (v *view) carries(c *Controller, s *Shard, why Reason) bool {
+	return !v.servesUnheard(s, why) || v.shareWith(c, s) <= vouchedShare
+}
+
+// keepsUnheard reports whether an owner that serves unheard keeps a shard. It isn't emptied,
+// but for its last shard only for keptUnheard: results that its workers report are recorded
+// by nobody meanwhile.
+func (v *view) keepsUnheard(s *Shard, why Reason) bool {
+	return v.servesUnheard(s, why) && v.staying(s.Owner) <= 1 && v.controller(s.Owner).Silent <= keptUnheard
 }
 
 // staying counts a member's shards with machines that aren't about to leave it.
--- a/internal/coordination/shard/planner.go
+++ b/internal/coordination/shard/planner.go
@@ -72,6 +72,7 @@
 	movePause    = 20 * time.Second // between moves for balance
 	restAfter    = 60 * time.Second // before a shard moves again for balance
 	failedFor    = 60 * time.Second // a member that lost a zone's workers is given no other's there
+	keptUnheard  = 30 * time.Second // by an owner that isn't heard and serves, of its last shard
 	vouchedShare = 0.5              // of a processor, up to which shards of an unheard owner are taken
 	settledFor   = 15 * time.Second // a reason must last that long to move a working shard
 	silentFor    = 6 * time.Second  // an owner isn't heard for so long that its shards move
@@ -228,8 +229,8 @@
 	for i := range v.shards {
 		s := &v.shards[i]
 		why := v.whyLeave(s)
-		to := v.best(s, func(c *Controller) bool { return p.mayTake(now, c, s, why) })
-		if why == 0 || to == nil || to.Draining || why == ReasonZone && to.Zone != s.Zone || v.keepsUnheard(s, to, why) {
+		to := v.best(s, func(c *Controller) bool { return p.mayTake(now, c, s, why) && v.carries(c, s, why) })
+		if why == 0 || to == nil || to.Draining || why == ReasonZone && to.Zone != s.Zone || v.keepsUnheard(s, why) {
 			delete(p.since, s.ID)
 			continue
 		}
@@ -253,7 +254,7 @@
 		return ReasonDrain
 	case c.Blind:
 		return ReasonBlind
-	case c.Silent > silentFor:
+	case c.Silent > silentFor || c.Vouched: // who vouches says that it doesn't hear the leader either
 		return ReasonSilent
 	case s.Zone != "" && c.Zone != s.Zone:
 		return ReasonZone
--- a/internal/coordination/shard/shard_test.go
+++ b/internal/coordination/shard/shard_test.go
@@ -207,14 +207,15 @@
 	for _, c := range []struct {
 		share   float64 // of the one that would take them
 		vouched bool
+		silent  time.Duration
 		want    int
-	}{{0.1, true, 1}, {0.9, true, 0}, {0.1, false, 2}} {
+	}{{0.1, true, silentFor, 1}, {0.9, true, silentFor, 0}, {0.1, false, silentFor, 2}, {0.1, true, keptUnheard, 2}, {0.9, true, keptUnheard, 0}} {
 		p := NewPlanner()
 		controllers, shards := fleet(c.share, 0.4, 0.9)
 		for k := range controllers {
 			controllers[k].Load.Machines = 200
 		}
-		controllers[1].Silent, controllers[1].Fit, controllers[1].Vouched = silentFor+time.Second, false, c.vouched
+		controllers[1].Silent, controllers[1].Fit, controllers[1].Vouched = c.silent+time.Second, false, c.vouched
 		moved := 0
 		for _, d := range p.Plan(start, controllers, shards) {
 			if d.Why == ReasonSilent {
--- a/internal/coordination/shard_leader.go
+++ b/internal/coordination/shard_leader.go
@@ -131,6 +131,7 @@
 	if !sl.s.read || sl.l.phase == loading {
 		return
 	}
+	sl.l.checkHeard()
 	for _, node := range sl.nodes() {
 		k := sl.links[node]
 		k.link.Check(sl.l.n.now)
--- a/internal/coordination/shard_reach.go
+++ b/internal/coordination/shard_reach.go
@@ -134,6 +134,17 @@
 	}
 }
 
+// nobodyTells reports whether a machine's owner isn't heard, so that there is no point in
+// waiting for its tasks: with controllers that refuse each other's connections a new leader
+// waited its longest for two thirds of the fleet.
+func (l *lead) nobodyTells(m *machine) bool {
+	if l.shards == nil {
+		return false
+	}
+	k := l.shards.owner(m.shard)
+	return k == nil || l.n.now.Sub(k.heard) > ownerQuiet
+}
+
 // givesWay lets another node lead if this one hears no owner but itself, reaches no workers
 // either, and the state service shows that others do. It reports whether it did.
 func (sl *shardLeader) givesWay() bool {
@@ -149,8 +160,8 @@
 			}
 			continue
 		}
-		vouched, _, _ := k.reaches(n.now)
-		if n.now.Sub(k.heard) <= unheardOwner {
+		vouched, _, shown := k.reaches(n.now)
+		if !shown && n.now.Sub(k.heard) <= unheardOwner {
 			return false
 		}
 		if vouched {
