--- a/internal/coordination/attempts.go
+++ b/internal/coordination/attempts.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"brasskeel/internal/coordination/placement"
 	"brasskeel/internal/protocol"
 )
 
@@ -13,10 +14,10 @@
 	j, m := a.job, a.machine
 	j.task(a.task).live = a
 	j.live++
-	j.zones[m.zone]++
+	j.zones[m.Zone]++
 	l.hold(a)
-	m.wanted.add(j.image, 1)
-	m.cpus += j.CPUs
+	m.Wanted.Add(j.image, 1)
+	m.Taken = m.Taken.Plus(placement.Needs(j.Job))
 	if !j.Spot {
 		m.fixed += j.CPUs
 	}
@@ -25,11 +26,9 @@
 		l.noteStop(a, 1)
 	}
 	if j.Kind == protocol.Service {
-		m.services += j.CPUs
+		m.ReplicaCPUs += j.CPUs
 		m.replicas++
 	}
-	m.gpus += j.GPUs
-	m.mem += j.MemGB
 	u := l.teams[j.Team]
 	if u == nil {
 		u = &usage{}
@@ -51,28 +50,26 @@
 	l.setState(a, 0)
 	t.live = nil
 	j.live--
-	if j.zones[m.zone]--; j.zones[m.zone] == 0 {
-		delete(j.zones, m.zone)
+	if j.zones[m.Zone]--; j.zones[m.Zone] == 0 {
+		delete(j.zones, m.Zone)
 	}
 	l.drop(a)
-	m.wanted.add(j.image, -1)
+	m.Wanted.Add(j.image, -1)
 	if a.stop {
 		l.noteStop(a, -1)
 	}
-	m.cpus -= j.CPUs
+	m.Taken = m.Taken.Minus(placement.Needs(j.Job))
 	m.kept[j.Priority] -= j.CPUs
 	if !j.Spot {
 		m.fixed -= j.CPUs
 	}
 	if j.Kind == protocol.Service {
-		m.services -= j.CPUs
+		m.ReplicaCPUs -= j.CPUs
 		m.replicas--
 	}
-	m.gpus -= j.GPUs
-	m.mem -= j.MemGB
 	if len(m.attempts) == 0 {
-		m.cpus, m.gpus, m.mem, m.services, m.fixed = 0, 0, 0, 0, 0 // no rounding left behind
-		m.kept, m.ending, m.endingMem = [protocol.Critical + 1]float64{}, usage{}, 0
+		m.Taken, m.Ending, m.ReplicaCPUs, m.fixed = placement.Resources{}, placement.Resources{}, 0, 0 // no rounding left behind
+		m.kept = [protocol.Critical + 1]float64{}
 		m.emptySince = l.n.now
 	}
 	u := l.teams[j.Team]
@@ -203,9 +200,11 @@
 func (l *lead) noteStop(a *attempt, by int) {
 	j, m, sign := a.job, a.machine, float64(by)
 	m.stops += by
-	m.ending.cpus += sign * j.CPUs
-	m.ending.gpus += sign * j.GPUs
-	m.endingMem += sign * j.MemGB
+	if by > 0 {
+		m.Ending = m.Ending.Plus(placement.Needs(j.Job))
+	} else {
+		m.Ending = m.Ending.Minus(placement.Needs(j.Job))
+	}
 	s := l.stopped[j.Team]
 	s.cpus += sign * j.CPUs
 	s.gpus += sign * j.GPUs
--- a/internal/coordination/boots.go
+++ b/internal/coordination/boots.go
@@ -25,11 +25,11 @@
 }
 
 func (l *lead) booting(m *machine) bool {
-	return !m.up && !m.draining && !m.releasing && m.spec != nil && !l.unheard(m)
+	return !m.up && !m.draining && !m.releasing && m.Spec != nil && !l.unheard(m)
 }
 
 func (l *lead) lateBoot(m *machine) bool {
-	return l.n.now.Sub(m.rented) >= m.spec.Boot*bootLate+bootLateMargin
+	return l.n.now.Sub(m.rented) >= m.Spec.Boot*bootLate+bootLateMargin
 }
 
 // unheard reports whether a machine that should be up by now may have reported to an
@@ -50,7 +50,7 @@
 			if l.lateBoot(m) {
 				b.late = append(b.late, m)
 			}
-		case m.up && m.spec != nil && l.n.now.Sub(m.rented) < max(m.spec.Boot*bootPatience, m.spec.Boot+bootPatienceAt):
+		case m.up && m.Spec != nil && l.n.now.Sub(m.rented) < max(m.Spec.Boot*bootPatience, m.Spec.Boot+bootPatienceAt):
 			b.came++
 		}
 	}
@@ -82,7 +82,7 @@
 			without--
 			continue
 		}
-		bins = append(bins, newBin(offer{m.spec, m.zone, m.spot}))
+		bins = append(bins, newBin(offer{m.Spec, m.Zone, m.Spot}))
 	}
 	return bins
 }
@@ -92,9 +92,9 @@
 	b := l.boots()
 	idle := len(l.fleet.unmet) == 0 && len(l.fleet.held) == 0 && !l.fleet.partly
 	for _, m := range b.late {
-		patience := max(m.spec.Boot*bootPatience, m.spec.Boot+bootPatienceAt)
+		patience := max(m.Spec.Boot*bootPatience, m.Spec.Boot+bootPatienceAt)
 		if b.slow() {
-			patience = m.spec.Boot * slowPatience
+			patience = m.Spec.Boot * slowPatience
 		}
 		switch age := l.n.now.Sub(m.rented); {
 		case len(m.attempts) > 0: // it was up for an earlier leader
--- a/internal/coordination/bounds.go
+++ b/internal/coordination/bounds.go
@@ -3,8 +3,6 @@
 import (
 	"log/slog"
 	"time"
-
-	"brasskeel/internal/protocol"
 )
 
 // bound names a bound that has to stand, for memory, fairness or the protocol's sake. What
@@ -134,14 +132,3 @@
 	minNews     = 5000
 	newsSeconds = 20
 )
-
-// roomForTasks reports whether a machine may hold one more task, by what a report that
-// names all its tasks takes. Part of a report is left for exited tasks that the worker may
-// not forget yet.
-func (m *machine) roomForTasks(j *protocol.Job) bool {
-	return m.reportBytes+protocol.TaskReportBytes(j.ID) <= tasksBytes
-}
-
-// tasksBytes is what the tasks placed on a machine may take in its worker's report: three
-// quarters of it.
-const tasksBytes = protocol.MaxBody * 3 / 4
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -93,7 +93,7 @@
 		n.fetchTypes(func(ok bool) {
 			if ok && l.alive() {
 				for _, m := range l.fleetList {
-					m.spec = n.types[m.typ]
+					m.Spec = n.types[m.Type]
 				}
 				l.saveTypes()
 			}
@@ -126,21 +126,21 @@
 	type use struct{ machines, emptying, pinned, cpus, services, used float64 }
 	var spot, fixed use
 	for _, m := range l.fleetList {
-		if !m.up || m.spec == nil {
+		if !m.up || m.Spec == nil {
 			continue
 		}
 		u := &fixed
-		if m.spot {
+		if m.Spot {
 			u = &spot
 		}
 		u.machines++
-		u.cpus += m.spec.CPUs
-		u.used += m.cpus
-		u.services += m.services
+		u.cpus += m.Spec.CPUs
+		u.used += m.Taken.CPUs
+		u.services += m.ReplicaCPUs
 		if m.emptying {
 			u.emptying++
 		}
-		if m.services > 0 {
+		if m.ReplicaCPUs > 0 {
 			u.pinned++
 		}
 	}
@@ -161,7 +161,7 @@
 	up := 0
 	for _, m := range l.fleetList {
 		if m.up && n.now.Sub(m.heard) < l.suspectAfter() {
-			count[m.zone]++
+			count[m.Zone]++
 			up++
 		}
 	}
--- a/internal/coordination/groups.go
+++ b/internal/coordination/groups.go
@@ -37,7 +37,7 @@
 // putMachine wants a machine recorded.
 func (g *journal) putMachine(m *machine) {
 	for _, k := range g.puts {
-		if !k.written && k.typ == m.typ && k.zone == m.zone && k.spot == m.spot && len(k.machines) < g.machinesPerGroup() {
+		if !k.written && k.typ == m.Type && k.zone == m.Zone && k.spot == m.Spot && len(k.machines) < g.machinesPerGroup() {
 			k.add(m)
 			return
 		}
@@ -45,7 +45,7 @@
 	g.groups++
 	id := g.l.shardFor(m)
 	// Never used again: terms are unique, and so is the counter within one.
-	k := &group{key: bookkeeping.KeyMachines(int(id), g.l.term, g.groups), shard: id, typ: m.typ, zone: m.zone, spot: m.spot}
+	k := &group{key: bookkeeping.KeyMachines(int(id), g.l.term, g.groups), shard: id, typ: m.Type, zone: m.Zone, spot: m.Spot}
 	k.add(m)
 	g.puts = append(g.puts, k)
 }
--- a/internal/coordination/grow.go
+++ b/internal/coordination/grow.go
@@ -261,12 +261,12 @@
 	l := g.l
 	used, free := 0.0, 0.0
 	for _, m := range l.fleetList {
-		if m.spec == nil || !m.up {
+		if m.Spec == nil || !m.up {
 			continue
 		}
-		used += m.cpus
+		used += m.Taken.CPUs
 		if l.open(m) {
-			free += m.spec.CPUs - m.cpus
+			free += m.Spec.CPUs - m.Taken.CPUs
 		}
 	}
 	for _, b := range g.bins {
--- a/internal/coordination/hold.go
+++ b/internal/coordination/hold.go
@@ -70,10 +70,10 @@
 		return nil
 	}
 	for _, o := range h.l.fleetList {
-		if !h.l.open(o) || !o.allowed(j.Job) {
+		if !h.l.open(o) || !o.Allows(j.Job) {
 			continue
 		}
-		room := o.spec.CPUs - o.cpus - h.taken[o].cpus - plan[o].cpus
+		room := o.Spec.CPUs - o.Taken.CPUs - h.taken[o].cpus - plan[o].cpus
 		for p := protocol.Priority(0); p < j.Priority; p++ {
 			room += o.kept[p]
 		}
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"brasskeel/internal/coordination/placement"
 	"brasskeel/internal/coordination/shard"
 	"brasskeel/internal/protocol"
 )
@@ -52,16 +53,16 @@
 	preferred  string // zone last recorded as the better one for leaders
 	placeAsked bool
 	checkAsked bool
-	opened     []*machine       // that took tasks at the start of the round
-	roomy      []*machine       // of them, those with room for the smallest task that waits
-	zones      []string         // of the opened machines
-	ranked     []candidate      // reused by every job's turn
-	full       []shape          // found no machine with room in this round
-	searches   map[kind]*search // for work to stop, in this round
-	yielding   []*attempt       // reused by every look at a machine's work
-	work       int              // machines looked at in this round
-	allowance  int              // how many it may look at
-	imageIDs   map[string]int32
+	opened     []*machine        // that took tasks at the start of the round
+	roomy      []*machine        // of them, those with room for the smallest task that waits
+	zones      []string          // of the opened machines
+	ranked     []candidate       // reused by every job's turn
+	full       []placement.Shape // found no machine with room in this round
+	searches   map[kind]*search  // for work to stop, in this round
+	yielding   []*attempt        // reused by every look at a machine's work
+	work       int               // machines looked at in this round
+	allowance  int               // how many it may look at
+	imageIDs   map[string]placement.ImageID
 }
 
 // usage is what a team's attempts take, those not proven gone included.
@@ -163,7 +164,7 @@
 func (n *Node) becomeLeader(term, version, lease uint64, ttl time.Duration, validUntil time.Time) {
 	l := &lead{owner: newOwner(n, right{lease, ttl, validUntil}), term: term, version: version, elected: n.now, phase: loading,
 		teams: map[string]*usage{}, stopped: map[string]usage{}, bias: map[string]float64{},
-		gone: map[string]time.Time{}, imageIDs: map[string]int32{}, searches: map[kind]*search{}, allowance: roundWork}
+		gone: map[string]time.Time{}, imageIDs: map[string]placement.ImageID{}, searches: map[kind]*search{}, allowance: roundWork}
 	for name := range n.teams {
 		l.teams[name] = &usage{}
 	}
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -122,7 +122,7 @@
 	missing, known := 0, 0
 	for _, m := range l.fleetList {
 		// One that only a lagging list tells of may be gone already.
-		booted := m.inherited && (m.spec == nil || l.n.now.Sub(m.rented) > 2*m.spec.Boot)
+		booted := m.inherited && (m.Spec == nil || l.n.now.Sub(m.rented) > 2*m.Spec.Boot)
 		if len(m.attempts) == 0 && !booted {
 			continue
 		}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -4,16 +4,15 @@
 	"slices"
 	"time"
 
+	"brasskeel/internal/coordination/placement"
 	"brasskeel/internal/coordination/shard"
 	"brasskeel/internal/protocol"
 )
 
 // machine is one rented machine and what is known of it.
 type machine struct {
+	placement.Machine
 	name, addr string
-	typ, zone  string
-	spot       bool
-	spec       *protocol.MachineType
 	rented     time.Time
 	inherited  bool   // known from an earlier leader's record
 	recorded   bool   // a record that names it is written: placements may name it
@@ -41,22 +40,13 @@
 	tokenSeen  bool      // a report has shown it
 	noticeAt   time.Time // when the cloud takes it; zero without notice
 
-	attempts        map[taskKey]*attempt
-	list            []*attempt // the same, in no order
-	cpus, gpus, mem float64    // taken by them
-	services        float64    // CPUs taken by replicas
-	replicas        int
-	reportBytes     int                            // that they take in a report of the worker's at the most
-	fixed           float64                        // CPUs taken by work that may not use spot machines
-	kept            [protocol.Critical + 1]float64 // CPUs taken, by priority
-	stops           int                            // attempts that were told to end
-	ending          usage                          // what they take
-	endingMem       float64
-	emptySince      time.Time
-	promised        usage // room that preemption frees for others
-	promisedMem     float64
-	images          imageCache
-	wanted          imageCounts // images of the attempts on it
+	attempts   map[taskKey]*attempt
+	list       []*attempt // the same, in no order
+	replicas   int
+	fixed      float64                        // CPUs taken by work that may not use spot machines
+	kept       [protocol.Critical + 1]float64 // CPUs taken, by priority
+	stops      int                            // attempts that were told to end
+	emptySince time.Time
 
 	fence       uint16 // raises the token for this worker alone
 	directToken uint64 // of the last direct start: late copies of it die above it
@@ -88,7 +78,7 @@
 }
 
 func (l *lead) newMachine(name, typ, zone string, spot bool) *machine {
-	m := &machine{name: name, typ: typ, zone: zone, spot: spot, spec: l.n.types[typ], rented: l.n.now,
+	m := &machine{Machine: placement.Machine{Type: typ, Zone: zone, Spot: spot, Spec: l.n.types[typ]}, name: name, rented: l.n.now,
 		attempts: map[taskKey]*attempt{}, emptySince: l.n.now, failures: map[string]int{}}
 	if l.shards == nil {
 		m.tenure = &l.tenure
@@ -187,18 +177,3 @@
 	}
 	l.journal.removeMachine(m)
 }
-
-func (m *machine) cacheGB() float64 {
-	if m.spec == nil {
-		return 0
-	}
-	return m.spec.CacheGB
-}
-
-// promise sets room aside that preemption is freeing, until the next
-// placement round.
-func (m *machine) promise(j *protocol.Job) {
-	m.promised.cpus += j.CPUs
-	m.promised.gpus += j.GPUs
-	m.promisedMem += j.MemGB
-}
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -1,6 +1,9 @@
 package coordination
 
-import "brasskeel/internal/protocol"
+import (
+	"brasskeel/internal/coordination/placement"
+	"brasskeel/internal/protocol"
+)
 
 // movesAtOnce is the part of the fleet whose replicas are moved in one turn, as a
 // divisor.
@@ -24,7 +27,7 @@
 		if !m.emptying {
 			fixedRoom += l.fixedRoom(m)
 		}
-		if m.onlyServices() && (m.emptying || m.cpus <= m.spec.CPUs/2+protocol.Epsilon) && n.now.Sub(m.rented) > 2*minimumCharge {
+		if m.onlyServices() && (m.emptying || m.Taken.CPUs <= m.Spec.CPUs/2+protocol.Epsilon) && n.now.Sub(m.rented) > 2*minimumCharge {
 			candidates = append(candidates, m)
 		}
 	}
@@ -38,7 +41,7 @@
 		if _, target := moves.taken[m]; target {
 			continue
 		}
-		if room := l.fixedRoom(m); !m.emptying && room > 0 && fixedRoom-m.spec.CPUs < l.fixedNeed() {
+		if room := l.fixedRoom(m); !m.emptying && room > 0 && fixedRoom-m.Spec.CPUs < l.fixedNeed() {
 			continue
 		}
 		if !moves.take(m) {
@@ -71,7 +74,7 @@
 }
 
 // room is what a machine gives to replicas that are to move there.
-type room struct{ cpus, gpus, mem float64 }
+type room = placement.Resources
 
 // holding is an image on the machines of a zone.
 type holding struct {
@@ -97,8 +100,8 @@
 func (v *moves) index() {
 	v.holders = map[holding][]*machine{}
 	for _, m := range v.l.fleetList {
-		for i := range m.images.images {
-			k := holding{m.images.images[i].id, m.zone}
+		for id := range m.Images.All {
+			k := holding{id, m.Zone}
 			v.holders[k] = append(v.holders[k], m)
 		}
 	}
@@ -126,8 +129,8 @@
 // stays keeps a machine that was being emptied.
 func (v *moves) stays(m *machine) {
 	m.emptying = false
-	for i := range m.images.images {
-		v.changes[holding{m.images.images[i].id, m.zone}]++
+	for id := range m.Images.All {
+		v.changes[holding{id, m.Zone}]++
 	}
 }
 
@@ -150,7 +153,7 @@
 			return nil, false
 		}
 		t := v.room(o, plan)
-		plan[o] = room{t.cpus + j.CPUs, t.gpus + j.GPUs, t.mem + j.MemGB}
+		plan[o] = t.Plus(placement.Needs(j.Job))
 	}
 	return plan, true
 }
@@ -165,7 +168,7 @@
 
 // find is the first machine but m that a replica of a job may move to.
 func (v *moves) find(m *machine, j *job, plan map[*machine]room) *machine {
-	key := moveKey{holding{j.image, m.zone}, keyOf(j)}
+	key := moveKey{holding{j.image, m.Zone}, keyOf(j)}
 	s := v.from[key]
 	if s.changes != v.changes[key.holding] {
 		s = searched{changes: v.changes[key.holding]}
@@ -191,10 +194,9 @@
 
 // fits reports whether a replica of a job may move to a machine.
 func (v *moves) fits(o *machine, j *job, plan map[*machine]room) bool {
-	if o.emptying || !v.l.open(o) || !o.allowed(j.Job) || !o.roomForTasks(j.Job) {
+	if o.emptying || !v.l.open(o) || !o.Allows(j.Job) || !o.RoomInReport(j.Job) {
 		return false
 	}
 	t := v.room(o, plan)
-	return o.cpus+t.cpus+j.CPUs <= o.spec.CPUs+protocol.Epsilon && o.gpus+t.gpus+j.GPUs <= o.spec.GPUs+protocol.Epsilon &&
-		o.mem+t.mem+j.MemGB <= o.spec.MemGB+protocol.Epsilon
+	return o.Taken.Plus(o.Held).Plus(t).Plus(placement.Needs(j.Job)).Within(placement.Capacity(o.Spec))
 }
--- a/internal/coordination/observe.go
+++ b/internal/coordination/observe.go
@@ -12,7 +12,7 @@
 func (l *lead) machineUp(*machine) { l.askPlace() }
 
 // sessionBegan implements observer.
-func (l *lead) sessionBegan(m *machine) { m.images.reset() }
+func (l *lead) sessionBegan(m *machine) { m.Images.Reset() }
 
 // addressChanged implements observer.
 func (l *lead) addressChanged(m *machine) { l.journal.changeGroup(m.group) }
@@ -46,7 +46,7 @@
 func (l *lead) stateReported(a *attempt, s protocol.TaskState) {
 	m := a.machine
 	if s == protocol.Running && a.state != protocol.Running {
-		m.images.add(a.job.image, a.job.ImageGB, m.cacheGB())
+		m.Images.Add(a.job.image, a.job.ImageGB, m.CacheGB())
 	}
 	l.setState(a, s)
 }
@@ -82,7 +82,7 @@
 	j := l.jobs[t.Job]
 	if t.Why == protocol.ExitDone && j != nil && t.Index < j.Tasks {
 		if a != nil && a.state != 0 {
-			m.images.add(j.image, j.ImageGB, m.cacheGB())
+			m.Images.Add(j.image, j.ImageGB, m.CacheGB())
 		}
 		clear(m.failures)
 		if a != nil {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -228,12 +228,12 @@
 	m.attempts[taskKey{a.job.ID, a.task}] = a
 	a.place = len(m.list)
 	m.list = append(m.list, a)
-	m.reportBytes += protocol.TaskReportBytes(a.job.ID)
+	m.ReportBytes += protocol.TaskReportBytes(a.job.ID)
 }
 
 func (o *owner) drop(a *attempt) {
 	m := a.machine
-	m.reportBytes -= protocol.TaskReportBytes(a.job.ID)
+	m.ReportBytes -= protocol.TaskReportBytes(a.job.ID)
 	delete(m.attempts, taskKey{a.job.ID, a.task})
 	last := m.list[len(m.list)-1]
 	m.list[a.place], last.place = last, a.place
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"brasskeel/internal/coordination/placement"
 	"brasskeel/internal/protocol"
 )
 
@@ -26,13 +27,13 @@
 	}
 	l.opened, l.roomy, l.zones = l.opened[:0], l.roomy[:0], l.zones[:0]
 	for _, m := range l.fleetList {
-		m.promised, m.promisedMem = usage{}, 0
+		m.Promised = placement.Resources{}
 		if l.open(m) {
 			l.opened = append(l.opened, m)
-			if !slices.Contains(l.zones, m.zone) {
-				l.zones = append(l.zones, m.zone)
+			if !slices.Contains(l.zones, m.Zone) {
+				l.zones = append(l.zones, m.Zone)
 			}
-			if m.cpus+least <= m.spec.CPUs+protocol.Epsilon && m.mem+leastMem <= m.spec.MemGB+protocol.Epsilon {
+			if m.Taken.CPUs+least <= m.Spec.CPUs+protocol.Epsilon && m.Taken.MemGB+leastMem <= m.Spec.MemGB+protocol.Epsilon {
 				l.roomy = append(l.roomy, m)
 			}
 		}
@@ -89,13 +90,13 @@
 func (l *lead) reserve(j *job) {
 	var best *machine
 	for _, m := range l.opened {
-		if m.promised == (usage{}) && m.allowed(j.Job) && j.zoneAllows(m.zone) && m.spec.Fits(j.Job) && !l.avoids(j, m) &&
-			(best == nil || m.spec.CPUs-m.cpus > best.spec.CPUs-best.cpus) {
+		if m.Promised == (placement.Resources{}) && m.Allows(j.Job) && j.zoneAllows(m.Zone) && m.Spec.Fits(j.Job) && !l.avoids(j, m) &&
+			(best == nil || m.Spec.CPUs-m.Taken.CPUs > best.Spec.CPUs-best.Taken.CPUs) {
 			best = m
 		}
 	}
 	if best != nil {
-		best.promise(j.Job)
+		best.Promise(j.Job)
 	}
 }
 
@@ -213,7 +214,7 @@
 		if i >= j.Tasks {
 			return 0
 		}
-		m := c.best(j)
+		m := j.best(&c)
 		if m == nil {
 			break
 		}
@@ -223,7 +224,7 @@
 		}
 		l.assign(j, i, m)
 		m.emptying = false // it is needed after all
-		c.again(l, j)
+		l.again(&c, j)
 	}
 	left := j.toStart() - held
 	if u, t := l.teams[j.Team], l.n.teams[j.Team]; j.CPUs > 0 && t != nil {
@@ -240,24 +241,25 @@
 		return 0 // what is left of the last try ends first
 	}
 	var chosen []*machine
+	needs := placement.Needs(j.Job)
 	u := l.teams[j.Team]
 	c := l.candidates(j)
 	for len(chosen) < need && l.underLimit(j) {
-		m := c.best(j)
+		m := j.best(&c)
 		if m == nil {
 			break
 		}
 		chosen = append(chosen, m)
-		m.cpus, m.gpus, m.mem = m.cpus+j.CPUs, m.gpus+j.GPUs, m.mem+j.MemGB
+		m.Taken = m.Taken.Plus(needs)
 		u.cpus, u.gpus = u.cpus+j.CPUs, u.gpus+j.GPUs
-		j.zones[m.zone]++
-		c.again(l, j)
+		j.zones[m.Zone]++
+		l.again(&c, j)
 	}
 	for _, m := range chosen {
-		m.cpus, m.gpus, m.mem = m.cpus-j.CPUs, m.gpus-j.GPUs, m.mem-j.MemGB
+		m.Taken = m.Taken.Minus(needs)
 		u.cpus, u.gpus = u.cpus-j.CPUs, u.gpus-j.GPUs
-		if j.zones[m.zone]--; j.zones[m.zone] == 0 {
-			delete(j.zones, m.zone)
+		if j.zones[m.Zone]--; j.zones[m.Zone] == 0 {
+			delete(j.zones, m.Zone)
 		}
 	}
 	if len(chosen) < need {
--- /dev/null
+++ b/internal/coordination/placement/placement_test.go
@@ -0,0 +1,18 @@
+package placement
+
+import "testing"
+
+func TestImageCache(t *testing.T) {
+	var c ImageCache
+	const a, b, d, e = 1, 2, 3, 4
+	c.Add(a, 1, 3)
+	c.Add(b, 1, 3)
+	c.Add(d, 1, 3)
+	c.Add(a, 1, 3) // used again: now b is the oldest
+	c.Add(e, 1, 3)
+	for image, want := range map[int32]float64{a: 1, b: 0, d: 1, e: 1} {
+		if got := c.Bytes(image); got != want {
+			t.Errorf("image %d: %g GB, want %g", image, got, want)
+		}
+	}
+}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"brasskeel/internal/coordination/placement"
 	"brasskeel/internal/protocol"
 )
 
@@ -35,16 +36,16 @@
 		l.n.log.Debug("preempted", "job", a.job.ID, "task", a.task, "machine", m.name, "for", j.ID, "lost", l.wasted(a))
 		l.stopAttempt(a, l.saveGrace(a))
 	}
-	m.promise(j.Job)
+	m.Promise(j.Job)
 }
 
 // slowStart reports whether fetching the image on a machine alone would take a
 // critical task past the time in which its users want it started.
 func (l *lead) slowStart(j *job, m *machine) bool {
-	if j.Priority != protocol.Critical || m.spec.FetchRate <= 0 {
+	if j.Priority != protocol.Critical || m.Spec.FetchRate <= 0 {
 		return false
 	}
-	fetch := time.Duration((1 - m.imageShare(j)) * j.ImageGB / m.spec.FetchRate * float64(time.Second))
+	fetch := time.Duration((1 - m.ImageShare(j.wants())) * j.ImageGB / m.Spec.FetchRate * float64(time.Second))
 	for i := range l.n.cfg.Objectives {
 		if o := &l.n.cfg.Objectives[i]; o.Kind == "wait" && o.Class == j.Class && fetch > o.Within {
 			return true
@@ -208,7 +209,7 @@
 		l.work += len(l.opened)
 		s.failed = make([]option, 0, len(l.opened))
 		for i, m := range l.opened {
-			if m.allowed(j.Job) && !(s.holders && m.images.bytes(j.image) < j.ImageGB) {
+			if m.Allows(j.Job) && !(s.holders && m.Images.Bytes(j.image) < j.ImageGB) {
 				s.failed = append(s.failed, option{m, 0, int32(i)})
 			}
 		}
@@ -246,7 +247,7 @@
 func (s *search) next(l *lead, j *job) bool {
 	for len(s.options) > 0 {
 		o := s.options[0]
-		if !j.zoneAllows(o.machine.zone) || o.machine.failures[j.ID] > 0 {
+		if !j.zoneAllows(o.machine.Zone) || o.machine.failures[j.ID] > 0 {
 			s.aside = append(s.aside, o)
 			heap.Pop(s)
 			continue
@@ -285,9 +286,8 @@
 // next call.
 func (l *lead) roomFor(j *job, m *machine, s *search) (cost float64, victims []*attempt, ok bool) {
 	l.work++
-	cpus := m.spec.CPUs - m.cpus + m.ending.cpus - m.promised.cpus
-	gpus := m.spec.GPUs - m.gpus + m.ending.gpus - m.promised.gpus
-	mem := m.spec.MemGB - m.mem + m.endingMem - m.promisedMem
+	free := placement.Capacity(m.Spec).Minus(m.Taken).Plus(m.Ending).Minus(m.Promised).Minus(m.Held)
+	cpus, gpus, mem := free.CPUs, free.GPUs, free.MemGB
 	fits := func() bool {
 		return cpus >= j.CPUs-protocol.Epsilon && gpus >= j.GPUs-protocol.Epsilon && mem >= j.MemGB-protocol.Epsilon
 	}
--- a/internal/coordination/probes.go
+++ b/internal/coordination/probes.go
@@ -99,7 +99,7 @@
 
 // wantsProbe reports whether a machine is to be asked that was silent for a time.
 func (o *owner) wantsProbe(m *machine, silent time.Duration) bool {
-	return silent > o.probeAfter(m.zone) || m.up && m.reached.IsZero() || o.unreached(m) > o.reachAfter() || m.probeFails > 0
+	return silent > o.probeAfter(m.Zone) || m.up && m.reached.IsZero() || o.unreached(m) > o.reachAfter() || m.probeFails > 0
 }
 
 // endSilent takes the attempts on a machine for gone whose worker's lease has certainly
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -77,9 +77,9 @@
 	n := o.n
 	if !m.up {
 		m.up = true
-		m.zone, m.typ, m.spot = r.Zone, r.Type, r.Spot
+		m.Zone, m.Type, m.Spot = r.Zone, r.Type, r.Spot
 		m.firstHeard = n.now
-		n.log.Debug("machine reports", "machine", m.name, "type", m.typ, "zone", m.zone, "session", r.Session)
+		n.log.Debug("machine reports", "machine", m.name, "type", m.Type, "zone", m.Zone, "session", r.Session)
 		o.observer.machineUp(m)
 	}
 	newSession := r.Session != m.session
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -14,10 +14,10 @@
 	l.endBoots()
 	used, free, fixedRoom := 0.0, 0.0, 0.0
 	for _, m := range l.fleetList {
-		if m.spec != nil && m.up && !m.draining && !m.releasing {
-			used += m.cpus
+		if m.Spec != nil && m.up && !m.draining && !m.releasing {
+			used += m.Taken.CPUs
 			if !m.emptying {
-				free += m.spec.CPUs - m.cpus
+				free += m.Spec.CPUs - m.Taken.CPUs
 				fixedRoom += l.fixedRoom(m)
 			}
 		}
@@ -34,7 +34,7 @@
 		switch {
 		case m.draining && len(m.attempts) == 0:
 			l.release(m, "drained")
-		case m.spec == nil && m.up && len(m.attempts) == 0:
+		case m.Spec == nil && m.up && len(m.attempts) == 0:
 			l.release(m, "unknown type")
 		case !m.noticeAt.IsZero() && n.now.After(m.noticeAt.Add(2*time.Second)) && len(m.attempts) == 0:
 			l.release(m, "taken")
@@ -43,7 +43,7 @@
 		case m.emptying && l.sendGuestsOff(m):
 		case m.emptying && m.onlyServices() && !moves.possible(m):
 			moves.stays(m) // for its replicas, so others may use it, too
-		case m.up && m.recorded && m.spec != nil && !m.draining && !m.emptying && m.noticeAt.IsZero():
+		case m.up && m.recorded && m.Spec != nil && !m.draining && !m.emptying && m.noticeAt.IsZero():
 			candidates = append(candidates, m)
 		}
 	}
@@ -55,17 +55,17 @@
 	dearestFirst(candidates)
 	for _, m := range candidates {
 		room := l.fixedRoom(m)
-		if free-(m.spec.CPUs-m.cpus) < want+m.cpus || room > 0 && fixedRoom-room < fixedNeed {
+		if free-(m.Spec.CPUs-m.Taken.CPUs) < want+m.Taken.CPUs || room > 0 && fixedRoom-room < fixedNeed {
 			continue
 		}
 		// Replicas would hold it for long, unless they can go elsewhere.
-		if m.services > 0 && (m.services > m.spec.CPUs/2+protocol.Epsilon || !moves.take(m)) {
+		if m.ReplicaCPUs > 0 && (m.ReplicaCPUs > m.Spec.CPUs/2+protocol.Epsilon || !moves.take(m)) {
 			continue
 		}
-		free -= m.spec.CPUs - m.cpus
+		free -= m.Spec.CPUs - m.Taken.CPUs
 		fixedRoom -= room
 		m.emptying = true
-		n.log.Debug("emptying machine", "machine", m.name, "cpus", m.cpus)
+		n.log.Debug("emptying machine", "machine", m.name, "cpus", m.Taken.CPUs)
 	}
 }
 
@@ -81,7 +81,7 @@
 	}
 	for _, a := range m.list {
 		if a.stop || a.job.Checkpoint == 0 || a.state != protocol.Running || l.n.now.Sub(a.since) < guestsStay ||
-			!l.tooDear(a.job, offer{spec: m.spec, zone: m.zone, spot: m.spot}) {
+			!l.tooDear(a.job, offer{spec: m.Spec, zone: m.Zone, spot: m.Spot}) {
 			return false
 		}
 	}
@@ -102,10 +102,10 @@
 // fixedRoom is the room on an ordinary machine that work which may not use
 // spot machines can have, other work giving way.
 func (l *lead) fixedRoom(m *machine) float64 {
-	if m.spot {
+	if m.Spot {
 		return 0
 	}
-	return max(m.spec.CPUs-m.fixed, 0)
+	return max(m.Spec.CPUs-m.fixed, 0)
 }
 
 // onlyServices reports whether replicas are all that is left on a machine.
@@ -120,12 +120,12 @@
 		if pa, pb := a.pricePerCPU(), b.pricePerCPU(); pa != pb {
 			return pa > pb
 		}
-		return a.cpus < b.cpus
+		return a.Taken.CPUs < b.Taken.CPUs
 	})
 }
 
 func (m *machine) pricePerCPU() float64 {
-	return offer{spec: m.spec, spot: m.spot}.price() / m.spec.CPUs
+	return offer{spec: m.Spec, spot: m.Spot}.price() / m.Spec.CPUs
 }
 
 // whySilent is why a machine is given up that may yet be heard again.
--- a/internal/coordination/shard_feed.go
+++ b/internal/coordination/shard_feed.go
@@ -149,7 +149,7 @@
 }
 
 func (f *ownerFeed) worker(m *machine) shard.Worker {
-	w := shard.Worker{Machine: m.name, Shard: m.shard, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot, Anew: m.anew}
+	w := shard.Worker{Machine: m.name, Shard: m.shard, Addr: m.addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Anew: m.anew}
 	if m.up {
 		w.Session, w.Compared, w.Reached = m.session, m.reconciled, !m.reached.IsZero()
 	}
--- a/internal/coordination/shard_leader_plan.go
+++ b/internal/coordination/shard_leader_plan.go
@@ -142,7 +142,7 @@
 		if machines[m.shard] == nil {
 			machines[m.shard] = map[string]int{}
 		}
-		machines[m.shard][m.zone]++
+		machines[m.shard][m.Zone]++
 	}
 	ids := sl.s.table.IDs()
 	if !sl.retiring {
--- a/internal/coordination/shard_leader_seen.go
+++ b/internal/coordination/shard_leader_seen.go
@@ -121,9 +121,9 @@
 
 func (sl *shardLeader) takeWorker(m *machine, w *shard.Worker) {
 	l, n := sl.l, sl.l.n
-	if m.zone != w.Zone || m.typ != w.Type || m.spot != w.Spot {
-		m.zone, m.typ, m.spot = w.Zone, w.Type, w.Spot
-		m.spec = n.types[m.typ]
+	if m.Zone != w.Zone || m.Type != w.Type || m.Spot != w.Spot {
+		m.Zone, m.Type, m.Spot = w.Zone, w.Type, w.Spot
+		m.Spec = n.types[m.Type]
 	}
 	if w.Addr != "" && w.Addr != m.addr {
 		m.addr = w.Addr
--- a/internal/coordination/shard_members.go
+++ b/internal/coordination/shard_members.go
@@ -16,7 +16,7 @@
 	machines, foreign := map[shard.ID]int{}, map[shard.ID]bool{}
 	for _, k := range l.fleetList {
 		machines[k.shard]++
-		if k.zone != m.zone {
+		if k.Zone != m.Zone {
 			foreign[k.shard] = true
 		}
 	}
--- a/internal/coordination/shard_owner.go
+++ b/internal/coordination/shard_owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/coordination/placement"
 	"brasskeel/internal/coordination/shard"
 	"brasskeel/internal/protocol"
 )
@@ -253,7 +254,7 @@
 }
 
 func (o *shardOwner) newMachine(k shard.Machine, h *heldShard) *machine {
-	m := &machine{name: k.Name, addr: k.Addr, typ: k.Type, zone: k.Zone, spot: k.Spot, shard: k.Shard, tenure: &h.tenure,
+	m := &machine{Machine: placement.Machine{Type: k.Type, Zone: k.Zone, Spot: k.Spot}, name: k.Name, addr: k.Addr, shard: k.Shard, tenure: &h.tenure,
 		attempts: map[taskKey]*attempt{}, exits: map[taskKey]*toldExit{}, strays: map[taskKey]uint64{}, strayStops: map[taskKey]uint64{}}
 	o.machines[k.Name] = m
 	o.fleetList = append(o.fleetList, m)
@@ -280,7 +281,7 @@
 		}
 		silent := o.silentFor(m)
 		if m.probeFails > 0 {
-			doubtful[m.zone] = true
+			doubtful[m.Zone] = true
 		}
 		if o.expected(m) && (o.wantsProbe(m, silent) || !m.up && silent > askAfter) {
 			ask = append(ask, m)
--- a/internal/coordination/shard_reach.go
+++ b/internal/coordination/shard_reach.go
@@ -116,7 +116,7 @@
 // controller may: then their silence says nothing of them.
 func (sl *shardLeader) relieved(m *machine) bool {
 	k := sl.owner(m.shard)
-	return k != nil && k.blind && k.untried[m.zone]
+	return k != nil && k.blind && k.untried[m.Zone]
 }
 
 // noteUntried notes for a blind owner which zones' workers another controller may reach.
@@ -128,8 +128,8 @@
 	k.untried = map[string]bool{}
 	controllers := sl.controllers()
 	for _, m := range sl.l.fleetList {
-		if _, known := k.untried[m.zone]; !known {
-			k.untried[m.zone] = sl.planner.Untried(sl.l.n.now, controllers, k.member, m.zone)
+		if _, known := k.untried[m.Zone]; !known {
+			k.untried[m.Zone] = sl.planner.Untried(sl.l.n.now, controllers, k.member, m.Zone)
 		}
 	}
 }
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -121,7 +121,7 @@
 		z.late++
 	}
 	if m.probeFails > 0 {
-		s.doubtful[m.zone] = true
+		s.doubtful[m.Zone] = true
 	}
 	if m.up {
 		s.known++
@@ -210,9 +210,9 @@
 
 func (l *lead) reachGroup(m *machine) reachGroup {
 	if l.shards == nil {
-		return reachGroup{zone: m.zone}
+		return reachGroup{zone: m.Zone}
 	}
-	return reachGroup{l.shards.s.ownerName(m.shard), m.zone}
+	return reachGroup{l.shards.s.ownerName(m.shard), m.Zone}
 }
 
 // reach is how many machines of a group answer.
