--- a/internal/coordination/shard/link.go
+++ b/internal/coordination/shard/link.go
@@ -60,6 +60,9 @@
 // Full reports whether so many lines are on their way that others have to wait.
 func (l *Link) Full() bool { return l.sent-l.acked >= linesInFlight && !l.reset }
 
+// Acked is the last line that the other side is known to have taken.
+func (l *Link) Acked() uint64 { return l.acked }
+
 // AckDue reports whether lines were taken that the other side doesn't know to have arrived.
 func (l *Link) AckDue() bool { return l.ackDue }
 
--- a/internal/coordination/shard/records.go
+++ b/internal/coordination/shard/records.go
@@ -58,8 +58,8 @@
 	// Next is whom the shard is to move to. The owner stops serving, then makes it the
 	// owner.
 	Next *Grant `json:"next,omitempty"`
-	// Released is whether the owner before stopped serving before this one was made the
-	// owner. Otherwise it may have gone on for its grace.
+	// Released is whether every owner before stopped serving before this one was made the
+	// owner. Otherwise one of them may have gone on for its grace.
 	Released bool `json:"released,omitempty"`
 	// Generation counts the owners.
 	Generation uint64 `json:"gen"`
@@ -180,13 +180,14 @@
 }
 
 // Release makes the member that a shard moves to its owner. The owner alone may do so,
-// once it has stopped serving. No leader is needed for it.
-func (t *Table) Release(id ID, from Member) *Change {
+// once it has stopped serving. No leader is needed for it. alone says that nobody before that
+// owner may still answer workers: otherwise the next one has to wait for that as well.
+func (t *Table) Release(id ID, from Member, alone bool) *Change {
 	k, ok := t.records[id]
 	if !ok || k.value.Next == nil || k.value.Owner.Member != from {
 		return nil
 	}
 	c := &Change{Records: map[ID]Record{}}
-	c.put(id, k.version, Record{Owner: *k.value.Next, Generation: k.value.Generation + 1, Released: true})
+	c.put(id, k.version, Record{Owner: *k.value.Next, Generation: k.value.Generation + 1, Released: alone})
 	return c
 }
--- a/internal/coordination/shard/shard_test.go
+++ b/internal/coordination/shard/shard_test.go
@@ -65,7 +65,7 @@
 // A move is asked for by the leader and carried out by the owner, each on the record's version.
 func TestMove(t *testing.T) {
 	table := tableOf(t, "a")
-	if table.Release(1, member("a")) != nil {
+	if table.Release(1, member("a"), true) != nil {
 		t.Error("released without an intent")
 	}
 	intent := table.Intend(1, member("b"), leader)
@@ -73,10 +73,10 @@
 	if table.Intend(1, member("c"), leader) != nil {
 		t.Error("a second move of a shard that moves")
 	}
-	if table.Release(1, member("b")) != nil {
+	if table.Release(1, member("b"), true) != nil {
 		t.Error("released by somebody else")
 	}
-	release := table.Release(1, member("a"))
+	release := table.Release(1, member("a"), true)
 	if when := versions(release); when[bookkeeping.KeyOwner(1)] != 40 || len(when) != 1 {
 		t.Errorf("conditions %v", when)
 	}
--- a/internal/coordination/shard_feed.go
+++ b/internal/coordination/shard_feed.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"time"
 
 	"brasskeel/internal/coordination/shard"
@@ -29,6 +30,15 @@
 	blocked bool               // more waits until lines are acknowledged
 	sentAt  time.Time
 	heard   time.Time // when a leader last told something
+	// gone are the proofs that the leader hasn't acknowledged. The attempts are forgotten
+	// here, so that no account tells of them: one whose only line was lost counted for ever.
+	gone []toldGone
+}
+
+// toldGone is a proof, and the line that told of it.
+type toldGone struct {
+	line uint64
+	gone shard.Gone
 }
 
 func newOwnerFeed(o *shardOwner) *ownerFeed {
@@ -96,7 +106,13 @@
 
 // beginAccount wants all told that is known of the workers.
 func (f *ownerFeed) beginAccount() {
+	gone := f.line.Gone
 	f.line, f.workers, f.full = shard.Observations{Status: f.line.Status}, map[*machine]bool{}, map[*machine]bool{}
+	for i := range f.gone {
+		f.line.Gone = append(f.line.Gone, f.gone[i].gone)
+	}
+	f.line.Gone = append(f.line.Gone, gone...)
+	f.gone = nil // they are told anew
 	if f.line.Status != nil && f.line.Status.Part > 0 {
 		f.line.Status = nil // half of it was told: the next one comes within a second
 	}
@@ -163,6 +179,9 @@
 func (f *ownerFeed) send(line shard.Observations) {
 	n := f.o.n
 	line.Header = f.link.Next(n.now, true)
+	for i := range line.Gone {
+		f.gone = append(f.gone, toldGone{line.Seq, line.Gone[i]})
+	}
 	line.Grants = f.o.grants()
 	f.sentAt = n.now
 	n.sendShardLine(f.leader, shardLine{Observations: &line})
@@ -174,7 +193,7 @@
 	if f.link != nil && f.link.Epoch() == epoch || f.link != nil && f.link.Epoch().Term > term {
 		return
 	}
-	f.link, f.leader = shard.NewLink(epoch), leader
+	f.link, f.leader, f.gone = shard.NewLink(epoch), leader, nil // the leader lists what it knows
 	f.soon()
 }
 
@@ -185,7 +204,9 @@
 	}
 	f.heard = f.o.n.now
 	f.follow(from, in.Epoch.Term)
-	if !f.link.Take(in.Header) {
+	taken := f.link.Take(in.Header)
+	f.gone = slices.DeleteFunc(f.gone, func(k toldGone) bool { return k.line <= f.link.Acked() })
+	if !taken {
 		return
 	}
 	if in.Reset {
--- a/internal/coordination/shard_guards_test.go
+++ b/internal/coordination/shard_guards_test.go
@@ -191,3 +191,107 @@
 		t.Errorf("sent to %q, which isn't heard", got)
 	}
 }
+
+// A proof that an attempt is gone is told again when its line was lost: the owner forgets the
+// attempt, so that no account of what it holds would tell of it.
+func TestLostProofIsToldAgain(t *testing.T) {
+	o := ownerOf(t, 7)
+	f := o.feed
+	f.take("n1", instructions(o, 7))
+	o.attemptGone(o.machines["vm-1"].list[0], "no longer reported")
+	gone := func() (count int, last uint64) {
+		f.flush()
+		for _, s := range o.n.take().Sends {
+			line, err := parseShardLine(s.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			count += len(line.Observations.Gone)
+			last = max(last, line.Observations.Seq)
+		}
+		return count, last
+	}
+	told, last := gone()
+	if told != 1 {
+		t.Fatalf("%d proofs told", told)
+	}
+	ask := func(ack uint64, again bool) {
+		o.n.now = o.n.now.Add(time.Second)
+		f.take("n1", &shard.Instructions{Header: shard.Header{Epoch: f.link.Epoch(), Ack: ack, Again: again}})
+		f.link.Check(o.n.now)
+	}
+	ask(last-1, true)
+	told, last = gone()
+	if told != 1 {
+		t.Errorf("%d proofs in the account after a lost line", told)
+	}
+	ask(last, true)
+	if told, _ := gone(); told != 0 {
+		t.Errorf("%d proofs told again after they arrived", told)
+	}
+}
+
+// An exit that an earlier leader let be forgotten, and that the worker still reports, is told
+// to a leader that lists the attempt as running.
+func TestForgottenExitIsToldToTheNextLeader(t *testing.T) {
+	o := ownerOf(t, 7)
+	o.feed.take("n1", instructions(o, 7))
+	m := o.machines["vm-1"]
+	exit := protocol.TaskReport{Job: "run-000001", Index: 0, Attempt: 1, State: protocol.Exited, Why: protocol.ExitStopped}
+	o.exitReported(m, m.list[0], &exit)
+	o.forget(&shard.Task{Machine: "vm-1", Job: "run-000001", Index: 0, Attempt: 1})
+	if !o.exitReported(m, nil, &exit) {
+		t.Fatal("the worker may not forget it")
+	}
+	o.feed.flush()
+	o.n.take()
+	o.feed.follow("n2", 10)
+	o.feed.take("n2", instructions(o, 7))
+	if len(m.list) != 1 {
+		t.Fatal("the next leader's list was not taken")
+	}
+	o.feed.flush()
+	o.n.take()
+	if o.exitReported(m, m.list[0], &exit) {
+		t.Error("the worker may forget it before the next leader knows")
+	}
+	if len(o.feed.line.Exits) != 1 {
+		t.Error("the next leader isn't told")
+	}
+}
+
+// An owner that gives a shard away while somebody before it may still answer the shard's
+// workers says so, and the next owner waits for that.
+func TestReleaseWhileAnEarlierOwnerMayAnswer(t *testing.T) {
+	released := func(wait time.Duration) bool {
+		o := ownerOf(t, 7)
+		o.held[1].tenure.predecessorUntil = o.n.now.Add(wait)
+		put(t, o.sharding.table, bookkeeping.KeyMember("n0"), shard.MemberRecord{Member: o.sharding.member}, 3)
+		next := shard.Grant{Member: shard.Member{Node: "n2", Incarnation: 1}, Term: 8}
+		put(t, o.sharding.table, bookkeeping.KeyOwner(1), shard.Record{Owner: shard.Grant{Member: o.sharding.member, Term: 7}, Next: &next}, 4)
+		o.follow()
+		for _, k := range o.n.take().Calls {
+			if k.Target != protocol.PathMulti {
+				continue
+			}
+			txn, err := protocol.ParseTxn(k.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, op := range txn.Then {
+				var r shard.Record
+				if op.Put == bookkeeping.KeyOwner(1) && protocol.Decode(op.Value, &r) == nil {
+					return r.Released
+				}
+			}
+		}
+		t.Fatal("nothing is released")
+		return false
+	}
+	if released(time.Second) {
+		t.Error("released although one before may still answer")
+	}
+	if !released(0) {
+		t.Error("the next owner has to wait for nobody")
+	}
+}
--- a/internal/coordination/shard_owner.go
+++ b/internal/coordination/shard_owner.go
@@ -140,11 +140,16 @@
 // releaseShard makes the next member the owner.
 func (o *shardOwner) releaseShard(id shard.ID) {
 	s := o.sharding
-	c := s.table.Release(id, s.member)
+	h := o.held[id]
+	if h == nil {
+		return
+	}
+	// An owner that took over from one that did not release, and gives the shard away before
+	// that one's grace is over, can't say that nobody answers its workers: the next owner
+	// took their silence for a proof while the first of the three went on answering them.
+	c := s.table.Release(id, s.member, !o.n.now.Before(h.tenure.predecessorUntil))
 	if c == nil {
-		if h := o.held[id]; h != nil {
-			h.releasing = false
-		}
+		h.releasing = false
 		return
 	}
 	o.n.storeTxn(&c.Txn, func(res txnResult, revision uint64, _ []string) {
@@ -358,6 +363,9 @@
 	}
 	if a != nil {
 		o.remove(a)
+		// It was listed by a leader that doesn't know of the exit, whatever an earlier one
+		// let be forgotten: untold, the attempt counted there for ever.
+		k.forget, k.at = false, time.Time{}
 	}
 	if !k.forget && o.n.now.Sub(k.at) > tellExitAgain {
 		k.at = o.n.now
