--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -32,6 +32,9 @@
 	PrefixMachines = "m/"
 	KeyTypes       = "t/types"
 
+	PrefixSurges = "u/"
+	KeySurges    = "u/surges"
+
 	// Everything about shards lies under PrefixShards, so that one watch tells of
 	// owners and of members.
 	PrefixShards  = "s/"
@@ -120,6 +123,15 @@
 	Term uint64 `json:"term"`
 }
 
+// Surge is the record of a team's surge that is under way.
+type Surge struct {
+	Number uint64  `json:"n"`     // never used again for the team
+	Level  float64 `json:"level"` // CPUs that it usually wants
+}
+
+// Surges are the surges under way, by team.
+type Surges map[string]Surge
+
 // Prefer names the zone a leader reaches most machines from.
 type Prefer struct {
 	Zone string `json:"zone"`
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -30,6 +30,8 @@
 	Spot bool `json:"spot"`
 	// Sharding divides the machines among the controllers; nil: the leader serves all.
 	Sharding *Sharding `json:"sharding,omitempty"`
+	// Balance bounds what surging teams put on one machine; nil: it doesn't.
+	Balance *Balance `json:"balance,omitempty"`
 }
 
 // Sharding says how machines are divided among the controllers.
@@ -40,6 +42,37 @@
 	Drain bool `json:"drain"`
 }
 
+// Balance says how the work of teams that surge is spread.
+type Balance struct {
+	// CeilingShare is the part of a machine that a surging team may take.
+	CeilingShare float64 `json:"ceilingShare"`
+	// FetchQueueSeconds is how many seconds of image fetching may queue on a machine.
+	FetchQueueSeconds float64 `json:"fetchQueueSeconds"`
+	// TradeSeconds is how many seconds of fetching it is worth to use a machine without
+	// work of the team rather than one that it fills up to the ceiling.
+	TradeSeconds float64 `json:"tradeSeconds"`
+}
+
+// defaultBalance leaves a surging team half of each machine.
+var defaultBalance = Balance{CeilingShare: 0.5, FetchQueueSeconds: 20, TradeSeconds: 2}
+
+// UnmarshalJSON implements json.Unmarshaler: what is left out has its default.
+func (b *Balance) UnmarshalJSON(raw []byte) error {
+	type plain Balance
+	p := plain(defaultBalance)
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return err
+	}
+	*b = Balance(p)
+	return nil
+}
+
+// FetchQueue is FetchQueueSeconds as a duration.
+func (b *Balance) FetchQueue() time.Duration { return seconds(b.FetchQueueSeconds) }
+
+// Trade is TradeSeconds as a duration.
+func (b *Balance) Trade() time.Duration { return seconds(b.TradeSeconds) }
+
 // defaultShardsPerController lets a shard be moved without moving half of what an owner has.
 const defaultShardsPerController = 2
 
--- a/internal/coordination/attempts.go
+++ b/internal/coordination/attempts.go
@@ -16,6 +16,7 @@
 	j.live++
 	j.zones[m.Zone]++
 	l.hold(a)
+	l.balance.attached(a)
 	m.Wanted.Add(j.image, 1)
 	m.Taken = m.Taken.Plus(placement.Needs(j.Job))
 	if !j.Spot {
@@ -47,6 +48,7 @@
 		return
 	}
 	l.n.log.Debug("attempt gone", "job", j.ID, "task", a.task, "attempt", a.number, "machine", m.name, "why", why)
+	l.balance.detached(a)
 	l.setState(a, 0)
 	t.live = nil
 	j.live--
@@ -95,6 +97,7 @@
 	}
 	if s == protocol.Running {
 		l.runs(a.job)
+		l.balance.runs(a)
 		if !a.inherited {
 			l.n.log.Debug("task runs", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name,
 				"within", a.job.within, "placed", l.n.now.Sub(a.placed), "age", l.n.now.Round(0).Sub(a.job.submitted))
--- /dev/null
+++ b/internal/coordination/balance/ceiling.go
@@ -0,0 +1,60 @@
+package balance
+
+import (
+	"time"
+
+	"brasskeel/internal/coordination/placement"
+)
+
+// Judge says how placing a task of a surging team on a machine would leave it.
+type Judge struct {
+	Settings
+	Now  time.Time
+	Team Team
+	Task placement.Task
+}
+
+// Above reports whether one more task would put a machine above the ceiling. A machine
+// without work of the team may always take one task.
+func (j *Judge) Above(m *placement.Machine, l *Load) bool {
+	r, tasks := l.Reserved(j.Team)
+	if tasks > 0 && Share(r.Plus(placement.Needs(j.Task.Job)), placement.Capacity(m.Spec)) > j.CeilingShare+shareEpsilon {
+		return true
+	}
+	if m.ImageShare(j.Task) >= 1 {
+		return false
+	}
+	// What it would fetch itself doesn't count: no machine could ever take a larger image.
+	queued := l.Fetches.Queued(j.Now, m.Spec.FetchRate)
+	return queued > j.FetchQueue
+}
+
+// shareEpsilon absorbs what adding parts of machines leaves behind.
+const shareEpsilon = 1e-9
+
+// Penalty is what the score of a machine loses, given the image term's weight.
+func (j *Judge) Penalty(m *placement.Machine, l *Load, imageWeight float64) float64 {
+	if j.Trade <= 0 {
+		return 0
+	}
+	r, _ := l.Reserved(j.Team)
+	heat := Share(r, placement.Capacity(m.Spec)) / j.CeilingShare
+	cost := j.Trade.Seconds() * (heat + max(0, l.Speed.Slowness()-1))
+	if m.ImageShare(j.Task) < 1 {
+		cost += l.Fetches.Queued(j.Now, m.Spec.FetchRate).Seconds()
+	}
+	return cost * j.secondsWorth(m.Spec.FetchRate, imageWeight)
+}
+
+// secondsWorth is what a second of fetching the task's image is worth in score: all of it is
+// worth the image term's weight.
+func (j *Judge) secondsWorth(rate, imageWeight float64) float64 {
+	whole := 0.0
+	if rate > 0 {
+		whole = j.Task.ImageGB / rate
+	}
+	return max(imageWeight, 0) / max(whole, leastFetch)
+}
+
+// leastFetch is the shortest fetch in seconds that a second's worth is derived from.
+const leastFetch = 1
--- a/internal/coordination/bounds.go
+++ b/internal/coordination/bounds.go
@@ -29,6 +29,7 @@
 	boundNoSockets              // sockets: calls given up while they waited for one
 	boundLost                   // lines that a peer was too slow for
 	boundServed                 // machines that this controller can serve on its share
+	boundCeiling                // what a surging team may put on one machine
 	boundCount
 )
 
@@ -40,7 +41,7 @@
 		boundList: "machines listed", boundFence: "raised tokens", boundTypes: "record of machine types",
 		boundLine: "line to a peer", boundCrowded: "sockets, answers that closed", boundShed: "sockets, connections shed",
 		boundNoSockets: "sockets, calls without one", boundServed: "machines served on this share",
-		boundLost: "lines to a slow peer",
+		boundLost: "lines to a slow peer", boundCeiling: "ceiling of surging teams",
 	}[b]
 }
 
@@ -55,7 +56,7 @@
 		boundFence: "only calls show whether the worker is reached", boundTypes: "other controllers ask the cloud for them",
 		boundLine: "the line is dropped", boundCrowded: "clients dial again", boundShed: "clients dial again",
 		boundNoSockets: "they are tried again", boundLost: "the peer misses them",
-		boundServed: "fewer machines are rented, none while timers are late",
+		boundServed: "fewer machines are rented, none while timers are late", boundCeiling: "a job's tasks go above it",
 	}[b]
 }
 
--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -37,6 +37,7 @@
 // candidates finds the machines that a job's tasks may be placed on now.
 func (l *lead) candidates(j *job) candidates {
 	l.ranked = l.ranked[:0]
+	l.judging = l.balance.judge(j)
 	s := placement.ShapeOf(j.Job)
 	// Where nothing found room before, nothing of the same kind and size will, and
 	// while enough waits to be recorded, nothing is to be placed.
@@ -103,6 +104,10 @@
 
 // rate gives what ranks a machine, by its place among those with room, for a job.
 func (l *lead) rate(m *machine, j *job, place int32) candidate {
-	return candidate{Machine: place, Last: m.emptying, Score: l.weights().Score(&m.Machine, j.wants()),
+	k := candidate{Machine: place, Last: m.emptying, Score: l.weights().Score(&m.Machine, j.wants()),
 		Room: m.Spec.CPUs - m.Taken.CPUs}
+	if l.judging != nil {
+		l.balance.apply(l.judging, m, &k)
+	}
+	return k
 }
--- a/internal/coordination/explain.go
+++ b/internal/coordination/explain.go
@@ -78,12 +78,13 @@
 	reasonCapacity
 	reasonPrice
 	reasonReports
+	reasonCeiling
 	reasons
 )
 
 func (r reason) String() string {
 	return [...]string{"room is being made", "the team's limit", "the job keeps failing", "its rules about zones", "records are behind",
-		"machines boot", "no capacity in the cloud", "only dear machines can be had", "machines are still to report"}[r]
+		"machines boot", "no capacity in the cloud", "only dear machines can be had", "machines are still to report", "a surging team's ceiling"}[r]
 }
 
 // whyWaits tells why a job's tasks wait.
@@ -99,6 +100,8 @@
 		return reasonZones
 	case l.fleet.partly:
 		return reasonRecords
+	case l.balance.holds(j):
+		return reasonCeiling
 	case booting:
 		return reasonBoots
 	}
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"brasskeel/internal/coordination/balance"
 	"brasskeel/internal/coordination/placement"
 	"brasskeel/internal/coordination/shard"
 	"brasskeel/internal/protocol"
@@ -47,7 +48,9 @@
 	gone     map[string]time.Time // machines proven gone, while lists may still show them
 	journal  journal
 	fleet    fleet
-	shards   *shardLeader // nil when this leader serves all machines itself
+	balance  *balancer      // nil while balance is off
+	judging  *balance.Judge // of the job whose turn it is; nil without
+	shards   *shardLeader   // nil when this leader serves all machines itself
 
 	told       told   // to operators, of work that waits
 	preferred  string // zone last recorded as the better one for leaders
@@ -97,6 +100,12 @@
 
 	shape shapeKey // made on first use
 
+	runs      balance.Runs // of its completed tasks
+	heldIn    uint64       // surge in which tasks waited for a machine below the ceiling
+	heldSince time.Time
+	heldAsked bool   // the end of that wait has a timer
+	yieldedIn uint64 // surge in which they may go above it
+
 	progressTold bool // peers were told of tasks that run or are done
 
 	// held are the attempts that a shard's owner holds; a leader has them in chunks.
@@ -169,6 +178,7 @@
 		l.teams[name] = &usage{}
 	}
 	l.observer = l
+	l.balance = newBalancer(l)
 	// The leader before may have had the shortest lease, which leaves the longest grace.
 	l.tenure = tenure{term: term, since: n.now, predecessorUntil: n.now.Add(n.graceAfter(n.op.LeaderLease()))}
 	l.journal.init(l)
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -13,6 +13,9 @@
 func (l *lead) load() {
 	var machines, chunks []protocol.Item
 	left := 3
+	if l.balance != nil {
+		left++
+	}
 	part := func() {
 		if left--; left == 0 {
 			l.takeRecords(machines, chunks)
@@ -30,6 +33,12 @@
 		chunks = items
 		part()
 	})
+	if l.balance != nil {
+		l.n.storeList(bookkeeping.PrefixSurges, l.alive, func(items []protocol.Item, _ uint64, _ time.Time) {
+			l.balance.restore(items)
+			part()
+		})
+	}
 }
 
 // chunksAtOnce is how many chunk records are taken in one step. Those of a fleet of
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"brasskeel/internal/coordination/balance"
 	"brasskeel/internal/coordination/placement"
 	"brasskeel/internal/coordination/shard"
 	"brasskeel/internal/protocol"
@@ -12,6 +13,7 @@
 // machine is one rented machine and what is known of it.
 type machine struct {
 	placement.Machine
+	load       *balance.Load // nil while balance is off
 	name, addr string
 	rented     time.Time
 	inherited  bool   // known from an earlier leader's record
@@ -80,6 +82,7 @@
 func (l *lead) newMachine(name, typ, zone string, spot bool) *machine {
 	m := &machine{Machine: placement.Machine{Type: typ, Zone: zone, Spot: spot, Spec: l.n.types[typ]}, name: name, rented: l.n.now,
 		attempts: map[taskKey]*attempt{}, emptySince: l.n.now, failures: map[string]int{}}
+	m.load = l.balance.newLoad()
 	if l.shards == nil {
 		m.tenure = &l.tenure
 	}
--- a/internal/coordination/observe.go
+++ b/internal/coordination/observe.go
@@ -12,7 +12,10 @@
 func (l *lead) machineUp(*machine) { l.askPlace() }
 
 // sessionBegan implements observer.
-func (l *lead) sessionBegan(m *machine) { m.Images.Reset() }
+func (l *lead) sessionBegan(m *machine) {
+	m.Images.Reset()
+	l.balance.sessionBegan(m)
+}
 
 // addressChanged implements observer.
 func (l *lead) addressChanged(m *machine) { l.journal.changeGroup(m.group) }
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -86,7 +86,9 @@
 	if a.state != protocol.Running || a.inherited || a.job.Estimate <= 0 {
 		return
 	}
-	ratio := float64(l.n.now.Sub(a.since)) / float64(a.job.Estimate)
+	run := l.n.now.Sub(a.since)
+	l.balance.completed(a, run)
+	ratio := float64(run) / float64(a.job.Estimate)
 	l.bias[a.job.Class] = l.biasOf(a.job.Class)*0.95 + min(max(ratio, 0.2), 5)*0.05
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -17,6 +17,7 @@
 		return // new placements need the state service
 	}
 	l.markGuarantees()
+	l.balance.beginRound()
 	order := l.waitingOrder()
 	l.fleet.unmet, l.fleet.partly = l.fleet.unmet[:0], false
 	l.full, l.work = l.full[:0], len(l.fleetList)+len(order)
@@ -215,7 +216,7 @@
 			return 0
 		}
 		m := l.best(&c, j)
-		if m == nil {
+		if m == nil || c.Best().Above && !l.balance.yields(j) {
 			break
 		}
 		if l.slowStart(j, m) && holders.turnNext(l, j) {
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"brasskeel/internal/config"
 	"brasskeel/internal/protocol"
 )
 
@@ -26,7 +27,26 @@
 	for seed := range days {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			chaos(t, uint64(seed), false, 0)
+			chaos(t, chaosDay{seed: uint64(seed)})
+		})
+	}
+}
+
+// TestChaosBalance plays such days with balance on, while teams surge; half of them with
+// shards. CHAOS_BALANCE sets how many, and CHAOS_BALANCE_FLEETS how many of them have a
+// thousand machines.
+func TestChaosBalance(t *testing.T) {
+	days, fleets := 12, 0
+	if s := os.Getenv("CHAOS_BALANCE"); s != "" {
+		days, _ = strconv.Atoi(s)
+	}
+	if s := os.Getenv("CHAOS_BALANCE_FLEETS"); s != "" {
+		fleets, _ = strconv.Atoi(s)
+	}
+	for seed := range days + fleets {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			chaos(t, chaosDay{seed: uint64(seed), fleet: seed >= days, shards: seed % 2, balance: true})
 		})
 	}
 }
@@ -42,7 +62,7 @@
 	for seed := range days {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			chaos(t, uint64(seed), true, 0)
+			chaos(t, chaosDay{seed: uint64(seed), fleet: true})
 		})
 	}
 }
@@ -61,13 +81,13 @@
 	for seed := range days {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			chaos(t, uint64(seed), false, 1+seed%3)
+			chaos(t, chaosDay{seed: uint64(seed), shards: 1 + seed%3})
 		})
 	}
 	for seed := range fleets {
 		t.Run(fmt.Sprint("fleet", seed), func(t *testing.T) {
 			t.Parallel()
-			chaos(t, uint64(seed), true, 1+seed%3)
+			chaos(t, chaosDay{seed: uint64(seed), fleet: true, shards: 1 + seed%3})
 		})
 	}
 }
@@ -75,10 +95,22 @@
 // kinds of trouble are drawn.
 const kinds = 40
 
-func chaos(t *testing.T, seed uint64, fleet bool, shards int) {
+// chaosDay is what is to be drawn.
+type chaosDay struct {
+	seed    uint64
+	fleet   bool // a thousand machines
+	shards  int  // per controller
+	balance bool // on, and teams surge
+}
+
+func chaos(t *testing.T, day chaosDay) {
+	seed, fleet, shards := day.seed, day.fleet, day.shards
 	rng := rand.New(rand.NewPCG(seed, 99))
 	zones := [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}}[rng.IntN(3)]
 	o := Options{Seed: seed, Nodes: 3, Zones: zones, Machines: 3 + rng.IntN(4), Capacity: 3 + rng.IntN(8), Shards: shards}
+	if day.balance {
+		o.Balance = &config.Balance{CeilingShare: []float64{0.25, 0.5, 0.75}[seed%3], FetchQueueSeconds: 2 + float64(seed%5), TradeSeconds: float64(seed % 4)}
+	}
 	if os.Getenv("SCENARIO_LOG") != "" {
 		o.Log = os.Stderr
 	}
@@ -441,7 +473,37 @@
 			later(40, c.Heal)
 		})
 	}
+	// A team's work comes several times as often for a while, and is checked for its ceiling
+	// while the same leader goes on.
+	surge := func() {
+		team := []string{"red", "blue"}[rng.IntN(2)]
+		most := 8.0
+		for _, j := range c.jobs {
+			if j.spec.Team == team && j.told == 0 && !j.asked {
+				most += j.spec.CPUs * float64(j.spec.Tasks-len(j.completed))
+			}
+		}
+		if most > 60*float64(scale) {
+			return // there is more than enough
+		}
+		for range 4 {
+			submit(func(j *protocol.Job) {
+				j.Kind, j.Team, j.Priority, j.CPUs = protocol.Batch, team, protocol.Standard, 1
+				j.Tasks = max(j.Tasks, int(most/2))
+			})
+		}
+		leader := c.Leader()
+		c.after(2*time.Second, func() {
+			if leader >= 0 && c.Leader() == leader {
+				c.Ceiling(team, o.Balance.CeilingShare)
+			}
+		})
+		c.after(8*time.Second, func() { c.Ceiling(team, 0) })
+	}
 	for range 60 {
+		if day.balance && count < 300 && rng.IntN(10) == 0 {
+			surge()
+		}
 		if shards > 0 && rng.IntN(12) == 0 {
 			refusedAndBlind()
 		}
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -32,7 +32,8 @@
 	Capacity int      // machines that can be rented per type, zone and kind
 	Fleet    bool     // limits, budgets and intervals of a fleet of a thousand machines
 	Shards   int      // per controller; 0: the leader serves all machines
-	Limit    float64  // CPUs that each team may take; 0 for those of the settings above
+	Balance  *config.Balance
+	Limit    float64 // CPUs that each team may take; 0 for those of the settings above
 	// Cost is the processor time of each event on a node: what comes faster waits, and
 	// timers fire late, as on a small share of a processor.
 	Cost time.Duration
@@ -103,7 +104,8 @@
 	slowLinks  time.Duration       // up to this much more every message takes
 	odd        int                 // odd requests sent, to name the next ones
 	hooks      []*hook
-	calm       time.Time // since when there is no trouble; zero while there is
+	calm       time.Time                // since when there is no trouble; zero while there is
+	ceilings   map[string]*ceilingCheck // of teams that are known to surge
 }
 
 // node is one controller's host.
@@ -182,6 +184,8 @@
 		cost: o.Cost, jobs: map[string]*userJob{}, links: map[link]*cut{}, used: map[string]float64{}, kept: map[string][][]byte{},
 		servers: map[uint64]string{}, gaps: newGaps(), streams: map[link]*stream{}, operator: config.DefaultOperator()}
 	c.setShards(o.Shards)
+	c.operator.Balance = o.Balance
+	c.ceilings = map[string]*ceilingCheck{}
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"brasskeel/internal/config"
 	"brasskeel/internal/protocol"
 )
 
@@ -211,6 +212,11 @@
 			Zones: strings.Split(arg(d, "zones", "a"), ","), Fleet: arg(d, "fleet", "") != "",
 			Shards: int(number(t, d, "shards", "0")),
 			Limit:  number(t, d, "limit", "0"), Cost: duration(t, d, arg(d, "cost", "0s"))}
+		if arg(d, "ceiling", "") != "" {
+			// ceiling=SHARE [queue=SECONDS] [trade=SECONDS]: balance is on.
+			o.Balance = &config.Balance{CeilingShare: number(t, d, "ceiling", "0.5"),
+				FetchQueueSeconds: number(t, d, "queue", "20"), TradeSeconds: number(t, d, "trade", "2")}
+		}
 		if os.Getenv("SCENARIO_LOG") != "" {
 			o.Log = os.Stderr
 		}
@@ -319,6 +325,13 @@
 		// setting shards=N: of controllers that start from now on; 0 for none.
 		r.c.setShards(int(number(t, d, "shards", "0")))
 		return ""
+	case "surges":
+		// surges TEAM share=S: from now on no task of the team's may go above its ceiling
+		// while others have room; share=0 ends it.
+		r.c.Ceiling(first(t, d), number(t, d, "share", "0"))
+		return ""
+	case "shares":
+		return r.c.Shares(first(t, d))
 	case "shards":
 		return strings.Join(r.c.ShardOwners(), "\n")
 	case "owners":
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -352,6 +352,7 @@
 		w.exit(t, protocol.ExitNoRoom)
 		return
 	}
+	c.checkCeiling(w, j)
 	fetch := time.Duration(j.spec.ImageGB / w.spec.FetchRate * float64(time.Second))
 	if slices.Contains(w.images, j.spec.Image) {
 		fetch = 0
