Shards: one worker with a later token no longer keeps its shard from being served

Its shard's owner took that for a later owner of its shard, paused, and never went on, although the table showed that nobody took it. Change: once the table was read again and still names the owner, it goes on; that one worker is refused.

--- /dev/null
+++ b/cmd/brasskeel/balance.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/config"
+	"brasskeel/internal/coordination/balance"
+	"brasskeel/internal/coordination/placement"
+	"brasskeel/internal/protocol"
+)
+
+// hottestShown is how many machines are listed unless asked otherwise.
+const hottestShown = 10
+
+func balanceCommand() *cobra.Command {
+	c := &cobra.Command{Use: "balance", Short: "Show how loaded machines are, by whom, and which teams surge", Args: cobra.NoArgs}
+	settings, operator := settingsFlags(c)
+	top := c.Flags().Int("top", hottestShown, "how many of the hottest machines to list")
+	c.RunE = func(cmd *cobra.Command, _ []string) error {
+		s, _, err := load(*settings, *operator)
+		if err != nil {
+			return err
+		}
+		if *top < 0 {
+			return fmt.Errorf("--top is %d, not 0 or more", *top)
+		}
+		ctx, cancel := context.WithTimeout(cmd.Context(), stateTimeout)
+		defer cancel()
+		f, err := readFleet(ctx, s)
+		if err != nil {
+			return err
+		}
+		f.show(cmd.OutOrStdout(), *top)
+		return nil
+	}
+	return c
+}
+
+// fleetLoad is what the records tell of machines and of what runs there.
+type fleetLoad struct {
+	types    map[string]*protocol.MachineType
+	machines map[string]*machineLoad
+	jobs     map[string]*bookkeeping.Job
+	demand   map[string]float64 // CPUs of unfinished tasks, by team
+	surges   bookkeeping.Surges
+	odd      []string // keys that can't be read
+}
+
+// machineLoad is one machine, and what its attempts reserve by team.
+type machineLoad struct {
+	name, machineType, zone string
+	teams                   map[string]placement.Resources
+	all                     placement.Resources
+	share                   float64 // of the resource that most is taken of
+}
+
+// readFleet reads the records. They are read one kind after the other while work goes on, so
+// that single tasks may be counted twice or not at all.
+func readFleet(ctx context.Context, s *config.Settings) (*fleetLoad, error) {
+	f := &fleetLoad{types: map[string]*protocol.MachineType{}, machines: map[string]*machineLoad{},
+		jobs: map[string]*bookkeeping.Job{}, demand: map[string]float64{}}
+	for _, part := range []struct {
+		prefix string
+		take   func(protocol.Item) error
+	}{
+		{bookkeeping.KeyTypes, f.takeTypes}, {bookkeeping.PrefixSurges, f.takeSurges}, {bookkeeping.PrefixActive, f.takeJob},
+		{bookkeeping.PrefixMachines, f.takeMachines}, {bookkeeping.PrefixChunks, f.takeChunk},
+	} {
+		err := readKeys(ctx, s, part.prefix, func(it protocol.Item) {
+			if part.take(it) != nil {
+				f.odd = append(f.odd, it.Key)
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	for _, m := range f.machines {
+		if t := f.types[m.machineType]; t != nil {
+			m.share = balance.Share(m.all, placement.Capacity(t))
+		}
+	}
+	return f, nil
+}
+
+func (f *fleetLoad) takeTypes(it protocol.Item) error {
+	var types []protocol.MachineType
+	err := json.Unmarshal(it.Value, &types)
+	for i := range types {
+		f.types[types[i].Name] = &types[i]
+	}
+	return err
+}
+
+func (f *fleetLoad) takeSurges(it protocol.Item) error { return protocol.Decode(it.Value, &f.surges) }
+
+func (f *fleetLoad) takeJob(it protocol.Item) error {
+	var r bookkeeping.Job
+	if err := protocol.Decode(it.Value, &r); err != nil {
+		return err
+	}
+	if r.Spec != nil && r.Chunk > 0 {
+		f.jobs[r.Spec.ID] = &r
+		f.demand[r.Spec.Team] += float64(r.Spec.Tasks) * r.Spec.CPUs
+	}
+	return nil
+}
+
+func (f *fleetLoad) takeMachines(it protocol.Item) error {
+	var r bookkeeping.Machines
+	if err := protocol.Decode(it.Value, &r); err != nil {
+		return err
+	}
+	for _, m := range r.Machines {
+		f.machines[m.Name] = &machineLoad{name: m.Name, machineType: r.Type, zone: r.Zone, teams: map[string]placement.Resources{}}
+	}
+	return nil
+}
+
+func (f *fleetLoad) takeChunk(it protocol.Item) error {
+	id, index, ok := bookkeeping.ParseChunkKey(it.Key)
+	job := f.jobs[id]
+	if !ok {
+		return fmt.Errorf("no chunk's key: %q", it.Key)
+	}
+	var r bookkeeping.Chunk
+	if err := protocol.Decode(it.Value, &r); err != nil || job == nil {
+		return err // without a job: it has just ended
+	}
+	spec := job.Spec
+	done, err := r.IsDone(job.Chunk)
+	if err != nil {
+		return fmt.Errorf("chunk %d: %w", index, err)
+	}
+	for _, d := range done {
+		if d {
+			f.demand[spec.Team] -= spec.CPUs
+		}
+	}
+	for _, t := range r.Tasks {
+		if m := f.machines[t.Machine]; m != nil {
+			needs := placement.Needs(spec)
+			m.teams[spec.Team] = m.teams[spec.Team].Plus(needs)
+			m.all = m.all.Plus(needs)
+		}
+	}
+	return nil
+}
+
+// show prints the fleet as a whole, surges, and the hottest machines.
+func (f *fleetLoad) show(out io.Writer, top int) {
+	list := slices.SortedFunc(maps.Values(f.machines), func(a, b *machineLoad) int {
+		return cmp.Or(cmp.Compare(b.share, a.share), cmp.Compare(a.name, b.name))
+	})
+	if len(list) == 0 {
+		fmt.Fprintln(out, "no machines on record")
+	} else {
+		sum := 0.0
+		for _, m := range list {
+			sum += m.share
+		}
+		fmt.Fprintf(out, "%d machines: mean %.0f%%, 99%% of them below %.0f%%, hottest %.0f%%\n",
+			len(list), 100*sum/float64(len(list)), 100*list[len(list)/100].share, 100*list[0].share)
+	}
+	f.showSurges(out)
+	if len(list) > 0 && top > 0 {
+		w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(w, "\nMACHINE\tTYPE\tZONE\tTAKEN\tBY")
+		for _, m := range list[:min(top, len(list))] {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%.0f%%\t%s\n", m.name, m.machineType, m.zone, 100*m.share, f.byTeam(m))
+		}
+		w.Flush()
+	}
+	for _, key := range f.odd {
+		fmt.Fprintln(out, "unreadable:", key)
+	}
+}
+
+func (f *fleetLoad) showSurges(out io.Writer) {
+	if len(f.surges) == 0 {
+		fmt.Fprintln(out, "no team surges")
+		return
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nSURGING TEAM\tSINCE\tUSUAL CPUS\tWANTED CPUS")
+	for _, team := range slices.Sorted(maps.Keys(f.surges)) {
+		r := f.surges[team]
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\n", team, time.UnixMilli(int64(r.Number)).UTC().Format(time.DateTime), r.Level, f.demand[team])
+	}
+	w.Flush()
+}
+
+// byTeam lists which part of a machine teams take, the largest first.
+func (f *fleetLoad) byTeam(m *machineLoad) string {
+	capacity := placement.Resources{}
+	if t := f.types[m.machineType]; t != nil {
+		capacity = placement.Capacity(t)
+	}
+	share := func(team string) float64 { return balance.Share(m.teams[team], capacity) }
+	teams := slices.SortedFunc(maps.Keys(m.teams), func(a, b string) int { return cmp.Or(cmp.Compare(share(b), share(a)), cmp.Compare(a, b)) })
+	var parts []string
+	for _, team := range teams {
+		parts = append(parts, fmt.Sprintf("%s %.0f%%", team, 100*share(team)))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/cmd/brasskeel/main.go
+++ b/cmd/brasskeel/main.go
@@ -21,7 +21,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(controlCommand(), checkCommand(), shardsCommand(), versionCommand())
+	root.AddCommand(controlCommand(), checkCommand(), shardsCommand(), balanceCommand(), versionCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "brasskeel:", err)
 		os.Exit(1)
--- a/cmd/brasskeel/shards.go
+++ b/cmd/brasskeel/shards.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -16,13 +14,6 @@
 	"brasskeel/internal/protocol"
 )
 
-// Bounds of reading who owns what.
-const (
-	shardsTimeout = 10 * time.Second
-	shardsPage    = 500
-	shardsBody    = 1 << 20 // of a page; the state service answers with half of it
-)
-
 func shardsCommand() *cobra.Command {
 	c := &cobra.Command{Use: "shards", Short: "Show which controller serves which shard of the machines", Args: cobra.NoArgs}
 	settings, operator := settingsFlags(c)
@@ -31,7 +22,7 @@
 		if err != nil {
 			return err
 		}
-		ctx, cancel := context.WithTimeout(cmd.Context(), shardsTimeout)
+		ctx, cancel := context.WithTimeout(cmd.Context(), stateTimeout)
 		defer cancel()
 		table, odd, err := readShards(ctx, s)
 		if err != nil {
@@ -45,46 +36,14 @@
 
 // readShards reads the records of shards from the state service, and what is wrong with those
 // that can't be read.
-func readShards(ctx context.Context, s *config.Settings) (*shard.Table, []error, error) {
-	table, after := shard.NewTable(), ""
-	var odd []error
-	for {
-		items, more, err := readPage(ctx, s.State, after)
-		if err != nil {
-			return nil, nil, fmt.Errorf("the state service: %w", err)
+func readShards(ctx context.Context, s *config.Settings) (table *shard.Table, odd []error, err error) {
+	table = shard.NewTable()
+	err = readKeys(ctx, s, bookkeeping.PrefixShards, func(it protocol.Item) {
+		if err := table.Put(it.Key, it.Value, it.Version); err != nil {
+			odd = append(odd, err)
 		}
-		for _, it := range items {
-			if err := table.Put(it.Key, it.Value, it.Version); err != nil {
-				odd = append(odd, err)
-			}
-		}
-		if !more || len(items) == 0 {
-			return table, odd, nil
-		}
-		after = items[len(items)-1].Key
-	}
-}
-
-func readPage(ctx context.Context, addr, after string) (items []protocol.Item, more bool, err error) {
-	target := protocol.RangeTarget(bookkeeping.PrefixShards, after, shardsPage)
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+target, nil)
-	if err != nil {
-		return nil, false, err
-	}
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return nil, false, err
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, shardsBody))
-	if err != nil {
-		return nil, false, err
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, false, fmt.Errorf("status %d", response.StatusCode)
-	}
-	items, more, _, err = protocol.ParseRange(body)
-	return items, more, err
+	})
+	return table, odd, err
 }
 
 // showShards prints who owns what, and the controllers that may own shards.
--- /dev/null
+++ b/cmd/brasskeel/state.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"brasskeel/internal/config"
+	"brasskeel/internal/protocol"
+)
+
+// Bounds of reading the state service for an operator.
+const (
+	stateTimeout = 10 * time.Second
+	statePage    = 500
+	stateBody    = 1 << 20 // of a page; the state service answers with half of it
+)
+
+// readKeys reads all keys with a prefix from the state service, page by page.
+func readKeys(ctx context.Context, s *config.Settings, prefix string, take func(protocol.Item)) error {
+	after := ""
+	for {
+		items, more, err := readPage(ctx, s.State, prefix, after)
+		if err != nil {
+			return fmt.Errorf("the state service: %w", err)
+		}
+		for _, it := range items {
+			take(it)
+		}
+		if !more || len(items) == 0 {
+			return nil
+		}
+		after = items[len(items)-1].Key
+	}
+}
+
+func readPage(ctx context.Context, addr, prefix, after string) (items []protocol.Item, more bool, err error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+protocol.RangeTarget(prefix, after, statePage), nil)
+	if err != nil {
+		return nil, false, err
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, false, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, stateBody))
+	if err != nil {
+		return nil, false, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, false, fmt.Errorf("status %d", response.StatusCode)
+	}
+	items, more, _, err = protocol.ParseRange(body)
+	return items, more, err
+}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -64,6 +64,7 @@
 	wasUp      bool                  // its worker was heard by somebody before
 	listed     bool                  // the leader told of all attempts that may be on it
 	anew       bool                  // its worker lost its memory
+	disowned   bool                  // its worker has seen a later token than its shard's
 	exits      map[taskKey]*toldExit // that the leader was told of
 	strays     map[taskKey]uint64    // attempts it was asked about
 	strayStops map[taskKey]uint64    // and those that are to end
--- a/internal/coordination/shard_guards_test.go
+++ b/internal/coordination/shard_guards_test.go
@@ -295,3 +295,34 @@
 		t.Error("the next owner has to wait for nobody")
 	}
 }
+
+// An owner pauses when a worker has seen a later token, and goes on with the others once the
+// table, read since, shows that nobody took the shard.
+func TestOneWorkerWithALaterToken(t *testing.T) {
+	o := ownerOf(t, 7)
+	put(t, o.sharding.table, bookkeeping.KeyMember("n0"), shard.MemberRecord{Member: o.sharding.member}, 3)
+	put(t, o.sharding.table, bookkeeping.KeyOwner(1), shard.Record{Owner: shard.Grant{Member: o.sharding.member, Term: 7}}, 4)
+	o.newMachine(shard.Machine{Shard: 1, Name: "vm-2", Type: "small", Zone: "a"}, o.held[1])
+	status := func(machine string, seq, term uint64) int {
+		body := protocol.EncodeReport(&protocol.Report{Machine: machine, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: seq, Token: term << fenceBits})
+		return o.n.Request(o.n.now, seq, "POST", protocol.PathReport, body).Replies[0].Status
+	}
+	if got := status("vm-1", 1, 9); got != 421 {
+		t.Errorf("a worker with a later token gets %d", got)
+	}
+	o.follow() // the table is as old as before
+	if got := status("vm-2", 2, 7); got != 421 {
+		t.Errorf("the others get %d before the table is read", got)
+	}
+	o.sharding.tableOf = o.sharding.generation
+	o.follow()
+	if got := status("vm-2", 3, 7); got != 200 {
+		t.Errorf("the others get %d although nobody took the shard", got)
+	}
+	if got := status("vm-1", 4, 9); got != 421 {
+		t.Errorf("a worker with a later token gets %d", got)
+	}
+	if got := status("vm-2", 5, 7); got != 200 {
+		t.Errorf("the others get %d after its next report", got)
+	}
+}
--- a/internal/coordination/shard_owner.go
+++ b/internal/coordination/shard_owner.go
@@ -35,6 +35,7 @@
 	moving    bool // nothing is answered or sent any more
 	releasing bool // the release is being written
 	overtaken bool // a worker has seen a later owner's token
+	asked     int  // generation of the table that tells whether there is one
 }
 
 func (h *heldShard) served() bool { return !h.moving && !h.overtaken }
@@ -45,9 +46,9 @@
 	h.tenure.paused = !h.served()
 }
 
-func (h *heldShard) setOvertaken() {
-	h.overtaken = true
-	h.tenure.paused = true
+func (h *heldShard) setOvertaken(on bool) {
+	h.overtaken = on
+	h.tenure.paused = !h.served()
 }
 
 func newShardOwner(s *sharding, r right) *shardOwner {
@@ -128,6 +129,12 @@
 // resumed under the same token, it must know what it sent.
 func (o *shardOwner) followMove(id shard.ID, r shard.Record) {
 	h := o.held[id]
+	if h.overtaken && o.sharding.tableOf >= h.asked {
+		// The table was read since: nobody took the shard. One worker alone has seen a later
+		// token, as of a machine that came into two shards' records; its shard went unserved
+		// for ever.
+		h.setOvertaken(false)
+	}
 	h.setMoving(r.Next != nil)
 	if !h.moving || h.releasing {
 		return
@@ -400,9 +407,11 @@
 // see it in the table.
 func (o *shardOwner) laterToken(m *machine) {
 	o.n.log.Info("a worker has seen a later owner", "machine", m.name, "shard", m.shard)
-	if h := o.held[m.shard]; h != nil && !h.overtaken {
-		h.setOvertaken()
+	if h := o.held[m.shard]; h != nil && !h.overtaken && !m.disowned {
+		m.disowned = true
+		h.setOvertaken(true)
 		o.sharding.readTable()
+		h.asked = o.sharding.generation
 	}
 }
 
--- a/internal/coordination/sharding.go
+++ b/internal/coordination/sharding.go
@@ -15,6 +15,7 @@
 	table      *shard.Table
 	read       bool // the table was read and is watched
 	generation int  // of the watch; an older one's news is dropped
+	tableOf    int  // generation whose read made the table
 	draining   bool
 	joining    bool
 	writing    bool         // the member's record is being written anew
@@ -42,7 +43,7 @@
 		for _, it := range items {
 			s.put(it.Key, it)
 		}
-		s.read = true
+		s.read, s.tableOf = true, generation
 		s.changed()
 		s.watch(revision, current)
 	})
--- a/internal/standin/live_test.go
+++ b/internal/standin/live_test.go
@@ -45,6 +45,73 @@
 			test(newLiveTest(t, binary, shards))
 		})
 	}
+	t.Run("balance, surge", func(t *testing.T) {
+		t.Parallel()
+		surgingTeam(newLiveTest(t, binary, "../../deploy/operator.balance.json"))
+	})
+}
+
+const (
+	surgeJobs  = 8 // of a team that surges
+	surgeTasks = 5 // of each
+	surgeRun   = 2500 * time.Millisecond
+)
+
+func surgeJob(i int) string { return fmt.Sprintf("run-%06d", 101+i) }
+
+// surgingTeam lets a team's work arrive in a surge on machines that are unevenly loaded, and
+// kills and stops leaders meanwhile. The stand-in checks that no machine is above the ceiling
+// of the settings' file while another had room for longer than its bound.
+func surgingTeam(t *liveTest) {
+	t.await("some tasks to complete", func(c *Cluster) bool { return completedTasks(c) >= liveTasks })
+	t.Do(func(c *Cluster) {
+		c.submitBatch(earlyJobs, liveJobs)
+		c.Ceiling("red", 0.5)
+		for i := range surgeJobs {
+			c.submitLive(surgeJob(i), protocol.Batch, surgeTasks, surgeRun)
+		}
+	})
+	begun := func(least int) {
+		t.await("tasks of the surge to start", func(c *Cluster) bool {
+			starts := 0
+			for i := range surgeJobs {
+				starts += c.jobs[surgeJob(i)].starts
+			}
+			return starts >= least
+		})
+	}
+	begun(surgeTasks)
+	leader, index := t.leader()
+	leader.Kill()
+	t.await("another leader", func(c *Cluster) bool { return c.Leader() >= 0 && c.Leader() != index })
+	if err := leader.Start(); err != nil {
+		t.Fatal(err)
+	}
+	begun(2 * surgeTasks)
+	leader, index = t.leader()
+	if err := leader.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	t.await("another leader", func(c *Cluster) bool { return c.Leader() >= 0 && c.Leader() != index })
+	if err := leader.Continue(); err != nil {
+		t.Fatal(err)
+	}
+	t.awaitAllDone()
+	t.await("every job of the surge to be done", func(c *Cluster) bool {
+		for i := range surgeJobs {
+			if c.told(surgeJob(i)) != protocol.Done {
+				return false
+			}
+		}
+		return true
+	})
+	t.Do(func(c *Cluster) {
+		for i := range surgeJobs {
+			if j := c.jobs[surgeJob(i)]; len(j.completed) != surgeTasks {
+				t.Errorf("%s: %d of %d tasks completed", surgeJob(i), len(j.completed), surgeTasks)
+			}
+		}
+	})
 }
 
 // drainedLeader lets the leader hand over and end, and starts it again.
