--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -138,3 +138,34 @@
 		t.Errorf("the example differs from the defaults: %+v, %v", example, err)
 	}
 }
+
+// A wrong setting of the balance ends with a line that names it; what is left out has its
+// default, and the file in deploy/ is good.
+func TestBalanceSettings(t *testing.T) {
+	for raw, names := range map[string]string{
+		`{"balance": {"ceilingShare": 0}}`:      "ceilingShare",
+		`{"balance": {"ceilingShare": 1.5}}`:    "ceilingShare",
+		`{"balance": {"fetchQueueSeconds": 0}}`: "fetchQueueSeconds",
+		`{"balance": {"tradeSeconds": -1}}`:     "tradeSeconds",
+		`{"balance": {"tradeSeconds": "2"}}`:    "tradeSeconds",
+		`{"balance": {"ceiling": 0.5}}`:         "ceiling",
+		`{"balance": true}`:                     "balance",
+	} {
+		o := DefaultOperator()
+		err := ParseOperator([]byte(raw), &o)
+		if err == nil || !strings.Contains(err.Error(), names) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", raw, err)
+		}
+	}
+	o := DefaultOperator()
+	if err := ParseOperator([]byte(`{"balance": {"ceilingShare": 0.25}}`), &o); err != nil || o.Balance == nil ||
+		*o.Balance != (Balance{CeilingShare: 0.25, FetchQueueSeconds: 20, TradeSeconds: 2}) {
+		t.Errorf("%v, %+v", err, o.Balance)
+	}
+	if o, err := LoadOperator("../../deploy/operator.balance.json"); err != nil || o.Balance == nil || *o.Balance != defaultBalance {
+		t.Errorf("deploy/operator.balance.json: %v, %+v", err, o.Balance)
+	}
+	if o := DefaultOperator(); o.Balance != nil {
+		t.Error("balance is on by default")
+	}
+}
--- a/internal/coordination/balance_ceiling.go
+++ b/internal/coordination/balance_ceiling.go
@@ -56,6 +56,18 @@
 	return true
 }
 
+// roomAbove is how many more tasks of a job the machines that are left would take.
+func (l *lead) roomAbove(c *candidates, j *job) int {
+	count := 0
+	for k := range c.All {
+		m := l.roomy[k.Machine]
+		if j.zoneAllows(m.Zone) {
+			count += m.RoomFor(j.Job)
+		}
+	}
+	return count
+}
+
 // holds reports whether a job's tasks wait for a machine below the ceiling.
 func (b *balancer) holds(j *job) bool {
 	surge := b.surge(j)
@@ -77,8 +89,8 @@
 	return least / ceilingPart
 }
 
-// comesInTime reports whether a machine that a job may use is likely to be up by a time: one
-// that boots, or one that can be rented.
+// comesInTime reports whether a machine that boots, and that a job may use, is likely to be up
+// by a time.
 func (b *balancer) comesInTime(j *job, until time.Time) bool {
 	l := b.l
 	if b.boots == nil {
@@ -90,14 +102,6 @@
 			return true
 		}
 	}
-	if l.n.strained() {
-		return false // nothing is rented then
-	}
-	for _, o := range l.offers() {
-		if o.allows(j.Job) && j.zoneAllows(o.zone) && !l.tooDear(j, o) && !l.n.now.Add(o.spec.Boot).After(until) {
-			return true
-		}
-	}
 	return false
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -216,7 +216,12 @@
 			return 0
 		}
 		m := l.best(&c, j)
-		if m == nil || c.Best().Above && !l.balance.yields(j) {
+		if m == nil {
+			break
+		}
+		if c.Best().Above && !l.balance.yields(j) {
+			// These have room, though above the ceiling: no machine is rented for them.
+			held += min(j.toStart()-held, l.roomAbove(&c, j))
 			break
 		}
 		if l.slowStart(j, m) && holders.turnNext(l, j) {
--- a/internal/coordination/placement/candidates.go
+++ b/internal/coordination/placement/candidates.go
@@ -51,6 +51,15 @@
 	return &c.list[0]
 }
 
+// All yields the candidates in no order.
+func (c *Candidates) All(yield func(*Candidate) bool) {
+	for i := range c.list {
+		if !yield(&c.list[i]) {
+			return
+		}
+	}
+}
+
 // Drop takes the best one out.
 func (c *Candidates) Drop() { heap.Pop(c) }
 
--- a/internal/coordination/placement/room.go
+++ b/internal/coordination/placement/room.go
@@ -75,6 +75,18 @@
 	return m.Taken.Plus(m.Held).Plus(Needs(j)).Plus(m.Promised).Minus(m.Ending).Within(Capacity(m.Spec))
 }
 
+// RoomFor is how many more tasks of a job fit beside all that is taken and held.
+func (m *Machine) RoomFor(j *protocol.Job) int {
+	free := Capacity(m.Spec).Minus(m.Taken).Minus(m.Held)
+	count := protocol.MaxTasks
+	for _, r := range [...]struct{ free, need float64 }{{free.CPUs, j.CPUs}, {free.GPUs, j.GPUs}, {free.MemGB, j.MemGB}} {
+		if r.need > 0 {
+			count = min(count, int((r.free+protocol.Epsilon)/r.need))
+		}
+	}
+	return max(0, count)
+}
+
 // Promise sets room aside that preemption is freeing, until the next placement round.
 func (m *Machine) Promise(j *protocol.Job) { m.Promised = m.Promised.Plus(Needs(j)) }
 
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -105,6 +105,7 @@
 	odd        int                 // odd requests sent, to name the next ones
 	hooks      []*hook
 	calm       time.Time                // since when there is no trouble; zero while there is
+	fetched    float64                  // GB of images, by all workers
 	ceilings   map[string]*ceilingCheck // of teams that are known to surge
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -367,6 +367,7 @@
 	}
 	if !slices.Contains(w.images, j.spec.Image) {
 		w.images = append(w.images, j.spec.Image)
+		w.c.fetched += j.spec.ImageGB
 	}
 	w.change()
 	w.wasSick = w.wasSick || w.sick
