--- a/cmd/brasskeel/balance.go
+++ b/cmd/brasskeel/balance.go
@@ -66,11 +66,15 @@
 	share                   float64 // of the resource that most is taken of
 }
 
+func newFleetLoad() *fleetLoad {
+	return &fleetLoad{types: map[string]*protocol.MachineType{}, machines: map[string]*machineLoad{},
+		jobs: map[string]*bookkeeping.Job{}, demand: map[string]float64{}}
+}
+
 // readFleet reads the records. They are read one kind after the other while work goes on, so
 // that single tasks may be counted twice or not at all.
 func readFleet(ctx context.Context, s *config.Settings) (*fleetLoad, error) {
-	f := &fleetLoad{types: map[string]*protocol.MachineType{}, machines: map[string]*machineLoad{},
-		jobs: map[string]*bookkeeping.Job{}, demand: map[string]float64{}}
+	f := newFleetLoad()
 	for _, part := range []struct {
 		prefix string
 		take   func(protocol.Item) error
@@ -87,12 +91,17 @@
 			return nil, err
 		}
 	}
+	f.weigh()
+	return f, nil
+}
+
+// weigh sets what part of each machine is taken.
+func (f *fleetLoad) weigh() {
 	for _, m := range f.machines {
 		if t := f.types[m.machineType]; t != nil {
 			m.share = balance.Share(m.all, placement.Capacity(t))
 		}
 	}
-	return f, nil
 }
 
 func (f *fleetLoad) takeTypes(it protocol.Item) error {
--- /dev/null
+++ b/cmd/brasskeel/balance_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"brasskeel/internal/bookkeeping"
+	"brasskeel/internal/protocol"
+)
+
+// What operators are shown of loads follows the records: who takes which part of a machine,
+// who surges, and what can't be read.
+func TestBalanceShown(t *testing.T) {
+	f := newFleetLoad()
+	job := func(id, team string, tasks int, cpus float64) bookkeeping.Job {
+		return bookkeeping.Job{Chunk: 96, Spec: &protocol.Job{ID: id, Team: team, Tasks: tasks, CPUs: cpus, MemGB: 1}}
+	}
+	done := bookkeeping.Chunk{Tasks: []bookkeeping.TaskRecord{{Offset: 1, Attempt: 1, Machine: "vm-1"}, {Offset: 2, Attempt: 2, Machine: "vm-2"}, {Offset: 3, Attempt: 1}}}
+	done.SetDone([]bool{true, false, false, false})
+	for _, it := range []struct {
+		take  func(protocol.Item) error
+		key   string
+		value any
+		bad   bool
+	}{
+		{f.takeTypes, bookkeeping.KeyTypes, []protocol.MachineType{{Name: "small", CPUs: 4, MemGB: 16}}, false},
+		{f.takeSurges, bookkeeping.KeySurges, bookkeeping.Surges{"red": {Number: 1764680000000, Level: 2}}, false},
+		{f.takeJob, bookkeeping.KeyActive("run-1"), job("run-1", "red", 4, 2), false},
+		{f.takeJob, bookkeeping.KeyActive("run-2"), job("run-2", "blue", 1, 1), false},
+		{f.takeMachines, bookkeeping.KeyMachines(0, 1, 1), bookkeeping.Machines{Type: "small", Zone: "a", Machines: []bookkeeping.Machine{{Name: "vm-1"}, {Name: "vm-2"}}}, false},
+		{f.takeChunk, bookkeeping.KeyChunk("run-1", 0), done, false},
+		{f.takeChunk, bookkeeping.KeyChunk("run-2", 0), bookkeeping.Chunk{Tasks: []bookkeeping.TaskRecord{{Attempt: 1, Machine: "vm-2"}}}, false},
+		{f.takeChunk, bookkeeping.KeyChunk("run-9", 0), bookkeeping.Chunk{}, false}, // its job has just ended
+		{f.takeChunk, "c/odd", bookkeeping.Chunk{}, true},
+		{f.takeMachines, "m/odd", "no record", true},
+	} {
+		if err := it.take(protocol.Item{Key: it.key, Value: bookkeeping.Encode(it.value)}); (err != nil) != it.bad {
+			t.Errorf("%s: %v", it.key, err)
+		}
+	}
+	f.weigh()
+	var out strings.Builder
+	f.show(&out, 1)
+	for _, want := range []string{"2 machines: mean 62%", "hottest 75%", "red", "2025-12-02", "2           6", "vm-2", "red 50%, blue 25%"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q isn't shown:\n%s", want, out.String())
+		}
+	}
+	if strings.Contains(out.String(), "vm-1") {
+		t.Errorf("more machines than asked for:\n%s", out.String())
+	}
+}
--- a/internal/standin/balance_curve_test.go
+++ b/internal/standin/balance_curve_test.go
@@ -28,7 +28,7 @@
 	for _, ceiling := range []float64{0.25, 0.75} {
 		settings = append(settings, &config.Balance{CeilingShare: ceiling, FetchQueueSeconds: 20, TradeSeconds: 2})
 	}
-	fmt.Println("| setting | hottest by the team, median and 99% of seconds | mean | waits of the team, median and 99% | of others | GB fetched | changes |")
+	fmt.Println("| setting | team above half, of machine-seconds | mean share | waits of the team, median and 99% | of others | GB fetched | changes |")
 	for _, b := range settings {
 		name := "off"
 		if b != nil {
@@ -40,7 +40,7 @@
 
 // measureSurge plays a surge over three seeds.
 func measureSurge(t *testing.T, machines int, b *config.Balance) string {
-	hottest := hdrhistogram.New(1, 1000, 3)
+	shares := hdrhistogram.New(1, 1000, 3) // of the team, in hundredths of a machine, by machine and second
 	mean, gb, changes, samples := 0.0, 0.0, 0, 0
 	var surging, others []time.Duration
 	const seeds = 3
@@ -71,15 +71,15 @@
 		c.state.changed, c.fetched = 0, 0
 		for range 60 {
 			c.Advance(time.Second)
-			most, sum, up := 0.0, 0.0, 0
+			sum, up := 0.0, 0
 			for _, h := range c.cloud.hosts {
 				if w := h.worker; w != nil && !w.dead {
 					taken, _ := w.takenBy("guest")
 					s := share(w, taken, taskShape{})
-					most, sum, up = max(most, s), sum+s, up+1
+					_ = shares.RecordValue(int64(s * 100)) // within its range
+					sum, up = sum+s, up+1
 				}
 			}
-			_ = hottest.RecordValue(int64(most * 100))
 			mean += sum / float64(max(1, up))
 			samples++
 		}
@@ -105,6 +105,12 @@
 		q := quantiles(list)
 		return fmt.Sprintf("%.2f s, %.2f s", q.P50.Seconds(), q.P99.Seconds())
 	}
-	return fmt.Sprintf("%d%%, %d%% | %.0f%% | %s | %s | %.0f | %d", hottest.ValueAtQuantile(50), hottest.ValueAtQuantile(99),
+	above := 0
+	for _, bar := range shares.Distribution() {
+		if bar.From > 50 {
+			above += int(bar.Count)
+		}
+	}
+	return fmt.Sprintf("%.1f%% | %.0f%% | %s | %s | %.0f | %d", 100*float64(above)/float64(shares.TotalCount()),
 		100*mean/float64(samples), waits(surging), waits(others), gb/seeds, changes/seeds)
 }
