--- a/cmd/brasskeel/balance.go
+++ b/cmd/brasskeel/balance.go
@@ -55,7 +55,8 @@
 	jobs     map[string]*bookkeeping.Job
 	demand   map[string]float64 // CPUs of unfinished tasks, by team
 	surges   bookkeeping.Surges
-	odd      []string // keys that can't be read
+	moved    map[string]int // tasks that are on record as moved in the surge under way, by team
+	odd      []string       // keys that can't be read
 }
 
 // machineLoad is one machine, and what its attempts reserve by team.
@@ -68,7 +69,7 @@
 
 func newFleetLoad() *fleetLoad {
 	return &fleetLoad{types: map[string]*protocol.MachineType{}, machines: map[string]*machineLoad{},
-		jobs: map[string]*bookkeeping.Job{}, demand: map[string]float64{}}
+		jobs: map[string]*bookkeeping.Job{}, demand: map[string]float64{}, moved: map[string]int{}}
 }
 
 // readFleet reads the records. They are read one kind after the other while work goes on, so
@@ -158,6 +159,17 @@
 			f.demand[spec.Team] -= spec.CPUs
 		}
 	}
+	if r.Surge != 0 && r.Surge == f.surges[spec.Team].Number {
+		moved, err := r.IsMoved(job.Chunk)
+		if err != nil {
+			return fmt.Errorf("chunk %d: %w", index, err)
+		}
+		for _, on := range moved {
+			if on {
+				f.moved[spec.Team]++
+			}
+		}
+	}
 	for _, t := range r.Tasks {
 		if m := f.machines[t.Machine]; m != nil {
 			needs := placement.Needs(spec)
@@ -203,10 +215,10 @@
 		return
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "\nSURGING TEAM\tSINCE\tUSUAL CPUS\tWANTED CPUS")
+	fmt.Fprintln(w, "\nSURGING TEAM\tSINCE\tUSUAL CPUS\tWANTED CPUS\tMOVED TASKS")
 	for _, team := range slices.Sorted(maps.Keys(f.surges)) {
 		r := f.surges[team]
-		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\n", team, time.UnixMilli(int64(r.Number)).UTC().Format(time.DateTime), r.Level, f.demand[team])
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%d\n", team, time.UnixMilli(int64(r.Number)).UTC().Format(time.DateTime), r.Level, f.demand[team], f.moved[team])
 	}
 	w.Flush()
 }
--- a/cmd/brasskeel/balance_test.go
+++ b/cmd/brasskeel/balance_test.go
@@ -17,6 +17,7 @@
 	}
 	done := bookkeeping.Chunk{Tasks: []bookkeeping.TaskRecord{{Offset: 1, Attempt: 1, Machine: "vm-1"}, {Offset: 2, Attempt: 2, Machine: "vm-2"}, {Offset: 3, Attempt: 1}}}
 	done.SetDone([]bool{true, false, false, false})
+	done.SetMoved(1764680000000, []bool{true, false, true, false})
 	for _, it := range []struct {
 		take  func(protocol.Item) error
 		key   string
@@ -41,7 +42,7 @@
 	f.weigh()
 	var out strings.Builder
 	f.show(&out, 1)
-	for _, want := range []string{"2 machines: mean 62%", "hottest 75%", "red", "2025-12-02", "2           6", "vm-2", "red 50%, blue 25%"} {
+	for _, want := range []string{"2 machines: mean 62%", "hottest 75%", "red", "2025-12-02", "2           6            2", "vm-2", "red 50%, blue 25%"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q isn't shown:\n%s", want, out.String())
 		}
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -216,35 +216,53 @@
 type Chunk struct {
 	Done  string       `json:"d,omitempty"` // bit set, base64
 	Tasks []TaskRecord `json:"t,omitempty"`
+	// Moved are the tasks that were moved in a surge of their team: bit set, base64.
+	Moved string `json:"m,omitempty"`
+	Surge uint64 `json:"s,omitempty"` // that surge
 }
 
 // SetDone packs the done tasks.
-func (c *Chunk) SetDone(done []bool) {
+func (c *Chunk) SetDone(done []bool) { c.Done = packBits(done) }
+
+// IsDone unpacks the done tasks.
+func (c *Chunk) IsDone(n int) ([]bool, error) { return unpackBits(c.Done, n) }
+
+// SetMoved packs the tasks that were moved in a surge.
+func (c *Chunk) SetMoved(surge uint64, moved []bool) {
+	if c.Moved = packBits(moved); c.Moved != "" {
+		c.Surge = surge
+	}
+}
+
+// IsMoved unpacks the tasks that were moved.
+func (c *Chunk) IsMoved(n int) ([]bool, error) { return unpackBits(c.Moved, n) }
+
+// packBits makes a bit set, empty when none is set.
+func packBits(set []bool) string {
 	any := false
-	bits := make([]byte, (len(done)+7)/8)
-	for i, d := range done {
-		if d {
+	bits := make([]byte, (len(set)+7)/8)
+	for i, on := range set {
+		if on {
 			bits[i/8] |= 1 << (i % 8)
 			any = true
 		}
 	}
-	c.Done = ""
-	if any {
-		c.Done = base64.RawStdEncoding.EncodeToString(bits)
+	if !any {
+		return ""
 	}
+	return base64.RawStdEncoding.EncodeToString(bits)
 }
 
-// IsDone unpacks the done tasks.
-func (c *Chunk) IsDone(n int) ([]bool, error) {
-	done := make([]bool, n)
-	bits, err := base64.RawStdEncoding.DecodeString(c.Done)
+func unpackBits(packed string, n int) ([]bool, error) {
+	set := make([]bool, n)
+	bits, err := base64.RawStdEncoding.DecodeString(packed)
 	if err != nil {
 		return nil, err
 	}
-	for i := range done {
-		done[i] = i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0
+	for i := range set {
+		set[i] = i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0
 	}
-	return done, nil
+	return set, nil
 }
 
 // bytesPerTask is the room one task needs in a chunk record at the most, with
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -143,13 +143,16 @@
 // default, and the file in deploy/ is good.
 func TestBalanceSettings(t *testing.T) {
 	for raw, names := range map[string]string{
-		`{"balance": {"ceilingShare": 0}}`:      "ceilingShare",
-		`{"balance": {"ceilingShare": 1.5}}`:    "ceilingShare",
-		`{"balance": {"fetchQueueSeconds": 0}}`: "fetchQueueSeconds",
-		`{"balance": {"tradeSeconds": -1}}`:     "tradeSeconds",
-		`{"balance": {"tradeSeconds": "2"}}`:    "tradeSeconds",
-		`{"balance": {"ceiling": 0.5}}`:         "ceiling",
-		`{"balance": true}`:                     "balance",
+		`{"balance": {"ceilingShare": 0}}`:                "ceilingShare",
+		`{"balance": {"ceilingShare": 1.5}}`:              "ceilingShare",
+		`{"balance": {"fetchQueueSeconds": 0}}`:           "fetchQueueSeconds",
+		`{"balance": {"tradeSeconds": -1}}`:               "tradeSeconds",
+		`{"balance": {"tradeSeconds": "2"}}`:              "tradeSeconds",
+		`{"balance": {"ceiling": 0.5}}`:                   "ceiling",
+		`{"balance": {"moves": 1}}`:                       "moves",
+		`{"balance": {"moves": true, "moveMargin": 0.5}}`: "moveMargin",
+		`{"balance": {"moveMargin": 2}}`:                  "moves",
+		`{"balance": true}`:                               "balance",
 	} {
 		o := DefaultOperator()
 		err := ParseOperator([]byte(raw), &o)
@@ -159,10 +162,12 @@
 	}
 	o := DefaultOperator()
 	if err := ParseOperator([]byte(`{"balance": {"ceilingShare": 0.25}}`), &o); err != nil || o.Balance == nil ||
-		*o.Balance != (Balance{CeilingShare: 0.25, FetchQueueSeconds: 20, TradeSeconds: 2}) {
+		*o.Balance != (Balance{CeilingShare: 0.25, FetchQueueSeconds: 20, TradeSeconds: 2, MoveMargin: 1.5}) {
 		t.Errorf("%v, %+v", err, o.Balance)
 	}
-	if o, err := LoadOperator("../../deploy/operator.balance.json"); err != nil || o.Balance == nil || *o.Balance != defaultBalance {
+	deployed := defaultBalance
+	deployed.Moves = true
+	if o, err := LoadOperator("../../deploy/operator.balance.json"); err != nil || o.Balance == nil || *o.Balance != deployed {
 		t.Errorf("deploy/operator.balance.json: %v, %+v", err, o.Balance)
 	}
 	if o := DefaultOperator(); o.Balance != nil {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -51,10 +51,14 @@
 	// TradeSeconds is how many seconds of fetching it is worth to use a machine without
 	// work of the team rather than one that it fills up to the ceiling.
 	TradeSeconds float64 `json:"tradeSeconds"`
+	// Moves allows running work of surging teams to be moved off hot machines.
+	Moves bool `json:"moves"`
+	// MoveMargin is how many times its cost a move has to save.
+	MoveMargin float64 `json:"moveMargin"`
 }
 
 // defaultBalance leaves a surging team half of each machine.
-var defaultBalance = Balance{CeilingShare: 0.5, FetchQueueSeconds: 20, TradeSeconds: 2}
+var defaultBalance = Balance{CeilingShare: 0.5, FetchQueueSeconds: 20, TradeSeconds: 2, MoveMargin: 1.5}
 
 // UnmarshalJSON implements json.Unmarshaler: what is left out has its default.
 func (b *Balance) UnmarshalJSON(raw []byte) error {
--- a/internal/coordination/attempts.go
+++ b/internal/coordination/attempts.go
@@ -47,7 +47,7 @@
 	if t.live != a {
 		return
 	}
-	l.n.log.Debug("attempt gone", "job", j.ID, "task", a.task, "attempt", a.number, "machine", m.name, "why", why)
+	l.n.log.Debug("attempt gone", "job", j.ID, "task", a.task, "attempt", a.number, "machine", m.Name, "why", why)
 	l.balance.detached(a)
 	l.setState(a, 0)
 	t.live = nil
@@ -80,6 +80,7 @@
 	if j.outcome == 0 && !t.done {
 		j.waiting = append(j.waiting, a.task)
 	}
+	l.balance.departed(a)
 	if j.outcome == 0 {
 		l.journal.touchLazy(j.chunk(a.task))
 	}
@@ -99,7 +100,7 @@
 		l.runs(a.job)
 		l.balance.runs(a)
 		if !a.inherited {
-			l.n.log.Debug("task runs", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name,
+			l.n.log.Debug("task runs", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.Name,
 				"within", a.job.within, "placed", l.n.now.Sub(a.placed), "age", l.n.now.Round(0).Sub(a.job.submitted))
 		}
 	}
--- a/internal/coordination/balance/ceiling.go
+++ b/internal/coordination/balance/ceiling.go
@@ -18,6 +18,7 @@
 // without work of the team may always take one task.
 func (j *Judge) Above(m *placement.Machine, l *Load) bool {
 	r, tasks := l.Reserved(j.Team)
+	r = r.Plus(m.Held) // running work of a surging team is on its way here
 	if tasks > 0 && Share(r.Plus(placement.Needs(j.Task.Job)), placement.Capacity(m.Spec)) > j.CeilingShare+shareEpsilon {
 		return true
 	}
--- a/internal/coordination/balance_teams.go
+++ b/internal/coordination/balance_teams.go
@@ -17,6 +17,7 @@
 	settings balance.Settings
 	teams    map[string]*balancedTeam
 	classes  map[classOnType]*balance.Runs
+	moves    relocations
 	boots    map[offerKey]time.Time // when the first machine of a kind is likely up; nil: not looked at in this round
 }
 
@@ -36,6 +37,7 @@
 	}
 	settings := balance.Settings{CeilingShare: o.CeilingShare, FetchQueue: o.FetchQueue(), Trade: o.Trade()}
 	b := &balancer{l: l, settings: settings, teams: map[string]*balancedTeam{}, classes: map[classOnType]*balance.Runs{}}
+	b.moves.under = map[*attempt]*relocation{}
 	for i := range l.n.cfg.Teams {
 		b.teams[l.n.cfg.Teams[i].Name] = &balancedTeam{id: balance.Team(i)}
 	}
--- a/internal/coordination/balance_teams_test.go
+++ b/internal/coordination/balance_teams_test.go
@@ -30,7 +30,7 @@
 
 // stateReport is a report that shows an attempt in a state.
 func stateReport(a *attempt, session, seq uint64, s protocol.TaskState) []byte {
-	return protocol.EncodeReport(&protocol.Report{Machine: a.machine.name, Addr: "x", Type: "small", Zone: "a", Session: session, Seq: seq, Token: 1 << 16,
+	return protocol.EncodeReport(&protocol.Report{Machine: a.machine.Name, Addr: "x", Type: "small", Zone: "a", Session: session, Seq: seq, Token: 1 << 16,
 		Tasks: []protocol.TaskReport{{Job: a.job.ID, Index: a.task, Attempt: a.number, State: s}}})
 }
 
@@ -52,7 +52,7 @@
 		t.Errorf("%s queued while the task runs", queued())
 	}
 	m.load.Fetches.Want(n.now, 99, 5, m.Spec.FetchRate)
-	n.Request(n.now, 5, "POST", protocol.PathReport, protocol.EncodeReport(&protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 2, Seq: 7, Token: 1 << 16}))
+	n.Request(n.now, 5, "POST", protocol.PathReport, protocol.EncodeReport(&protocol.Report{Machine: m.Name, Addr: "x", Type: "small", Zone: "a", Session: 2, Seq: 7, Token: 1 << 16}))
 	if _, tasks := m.load.Reserved(l.balance.teams["red"].id); tasks != 0 || queued() != 0 {
 		t.Errorf("%d tasks and %s queued in a new session", tasks, queued())
 	}
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -122,7 +122,7 @@
 		fill(l)
 		n.take()
 		m := l.fleetList[0]
-		r := &protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Token: l.tenure.token()}
+		r := &protocol.Report{Machine: m.Name, Addr: "x", Type: "small", Zone: "a", Session: 1, Token: l.tenure.token()}
 		for _, a := range m.sorted() {
 			r.Tasks = append(r.Tasks, protocol.TaskReport{Job: a.job.ID, Index: a.task, Attempt: a.number, State: protocol.Running})
 		}
@@ -150,7 +150,7 @@
 		spec.Tasks, spec.CPUs, spec.MemGB = 15000, 0.05, 0.05
 		l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: spec})
 		m, j := l.fleetList[0], l.order[0]
-		r := &protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: l.tenure.token()}
+		r := &protocol.Report{Machine: m.Name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: l.tenure.token()}
 		for i := range exits {
 			l.assign(j, i, m)
 			a := j.task(i).live
@@ -251,7 +251,7 @@
 			l.shrink()
 			l.consolidate()
 			for _, m := range l.fleetList {
-				m.emptying = false
+				m.Emptying = false
 			}
 		}
 	})
--- a/internal/coordination/candidates.go
+++ b/internal/coordination/candidates.go
@@ -29,6 +29,14 @@
 // wants is what placement knows of a job's tasks.
 func (j *job) wants() placement.Task { return placement.Task{Job: j.Job, Image: j.image} }
 
+// shapeOf makes the key of a job's shape once: it is looked up for each look at the fleet.
+func shapeOf(j *job) placement.ShapeKey {
+	if j.shape == (placement.ShapeKey{}) {
+		j.shape = placement.KeyOf(j.Job)
+	}
+	return j.shape
+}
+
 // weights are those that operators set.
 func (l *lead) weights() placement.Weights {
 	return placement.Weights{Image: l.n.op.ImageWeight, Room: l.n.op.RoomWeight}
@@ -51,7 +59,7 @@
 			continue
 		}
 		room = true
-		if m.emptying && j.Checkpoint > 0 && l.tooDear(j, offer{spec: m.Spec, zone: m.Zone, spot: m.Spot}) {
+		if m.Emptying && j.Checkpoint > 0 && l.tooDear(j, offer{spec: m.Spec, zone: m.Zone, spot: m.Spot}) {
 			continue // it would soon have to leave again
 		}
 		if !l.avoids(j, m) {
@@ -104,7 +112,7 @@
 
 // rate gives what ranks a machine, by its place among those with room, for a job.
 func (l *lead) rate(m *machine, j *job, place int32) candidate {
-	k := candidate{Machine: place, Last: m.emptying, Score: l.weights().Score(&m.Machine, j.wants()),
+	k := candidate{Machine: place, Last: m.Emptying, Score: l.weights().Score(&m.Machine, j.wants()),
 		Room: m.Spec.CPUs - m.Taken.CPUs}
 	if l.judging != nil {
 		l.balance.apply(l.judging, m, &k)
--- a/internal/coordination/faults.go
+++ b/internal/coordination/faults.go
@@ -56,12 +56,12 @@
 	}
 	before := l.suspect(j)
 	j.errors++
-	j.failedOn[m.name] = struct{}{}
+	j.failedOn[m.Name] = struct{}{}
 	if a.state == protocol.Running {
 		j.brokeAt = n.now
 	}
 	m.failures[j.ID]++
-	n.log.Debug("task failed", "job", j.ID, "task", a.task, "machine", m.name, "failures", j.errors)
+	n.log.Debug("task failed", "job", j.ID, "task", a.task, "machine", m.Name, "failures", j.errors)
 	pause := time.Duration(0)
 	switch {
 	case l.suspect(j):
@@ -95,7 +95,7 @@
 	}
 	if good >= 2 || good == 1 && j.proven(l.n.now) && m.failures[j.ID] >= 2 && len(j.failedOn) < suspectMachines {
 		m.sick = true
-		l.n.log.Warn("machine fails its tasks", "machine", m.name, "jobs", len(m.failures))
+		l.n.log.Warn("machine fails its tasks", "machine", m.Name, "jobs", len(m.failures))
 		l.drain(m)
 	}
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -111,6 +111,7 @@
 	l.grow()
 	l.shrink()
 	l.consolidate()
+	l.balance.moveStep()
 	l.sendReleases()
 	l.logFleet()
 }
@@ -137,7 +138,7 @@
 		u.cpus += m.Spec.CPUs
 		u.used += m.Taken.CPUs
 		u.services += m.ReplicaCPUs
-		if m.emptying {
+		if m.Emptying {
 			u.emptying++
 		}
 		if m.ReplicaCPUs > 0 {
--- a/internal/coordination/groups.go
+++ b/internal/coordination/groups.go
@@ -117,7 +117,7 @@
 func (k *group) record() json.RawMessage {
 	r := bookkeeping.Machines{Type: k.typ, Zone: k.zone, Spot: k.spot}
 	for _, m := range k.machines {
-		r.Machines = append(r.Machines, bookkeeping.Machine{Name: m.name, Rented: bookkeeping.Millis(m.rented), Addr: m.addr})
+		r.Machines = append(r.Machines, bookkeeping.Machine{Name: m.Name, Rented: bookkeeping.Millis(m.rented), Addr: m.addr})
 	}
 	return bookkeeping.Encode(r)
 }
--- a/internal/coordination/groups_test.go
+++ b/internal/coordination/groups_test.go
@@ -80,7 +80,7 @@
 	}
 	for i, m := range slices.Clone(l.fleetList) {
 		if !m.recorded {
-			t.Fatalf("%s isn't taken for recorded", m.name)
+			t.Fatalf("%s isn't taken for recorded", m.Name)
 		}
 		if i >= 10 {
 			l.machineGone(m, "returned")
--- a/internal/coordination/grow.go
+++ b/internal/coordination/grow.go
@@ -3,9 +3,9 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
+	"brasskeel/internal/coordination/placement"
 	"brasskeel/internal/protocol"
 )
 
@@ -18,7 +18,7 @@
 	full   int    // of them, those that by now may not
 	// from is where the search for room begins in open, by shape of a task: what is before
 	// it takes no more of that shape.
-	from   map[shapeKey]int
+	from   map[placement.ShapeKey]int
 	least  usage // of a task that waits
 	mem    float64
 	need   map[offerKey]int // machines to be asked for, by offer
@@ -29,21 +29,6 @@
 	rooms  map[string]*usage
 }
 
-// shapeKey is a shape that can be looked up.
-type shapeKey struct {
-	cpus, gpus, mem float64
-	zone, types     string
-	spot            bool
-}
-
-// keyOf makes the key once for each job: it is looked up for each look at the fleet.
-func keyOf(j *job) shapeKey {
-	if j.shape == (shapeKey{}) {
-		j.shape = shapeKey{j.CPUs, j.GPUs, j.MemGB, j.Zone, strings.Join(j.Types, " "), j.Spot}
-	}
-	return j.shape
-}
-
 // mayGrow reports whether anything may be rented now.
 func (l *lead) mayGrow() bool {
 	n, f := l.n, &l.fleet
@@ -120,7 +105,7 @@
 }
 
 func (l *lead) newGrowth() *growth {
-	g := &growth{l: l, offers: l.offers(), bins: l.coming(), from: map[shapeKey]int{}, need: map[offerKey]int{}, rooms: map[string]*usage{}}
+	g := &growth{l: l, offers: l.offers(), bins: l.coming(), from: map[placement.ShapeKey]int{}, need: map[offerKey]int{}, rooms: map[string]*usage{}}
 	g.open = slices.Clone(g.bins)
 	for i, d := range l.fleet.unmet {
 		if i == 0 {
@@ -178,7 +163,7 @@
 
 // fill puts tasks of a job into room that is coming, and returns how many found some.
 func (g *growth) fill(j *job, zones *zoneCount, most int) int {
-	key := keyOf(j)
+	key := shapeOf(j)
 	i, found := g.from[key], 0
 	for ; i < len(g.open) && found < most; i++ {
 		g.looked++
--- a/internal/coordination/journal.go
+++ b/internal/coordination/journal.go
@@ -110,6 +110,7 @@
 	bytes   int
 	chunks  []*chunk
 	starts  [][]*attempt // per chunk
+	marks   [][]*attempt // per chunk
 	saved   [][]*task    // per chunk
 	ends    []*job
 	puts    []*group
@@ -229,8 +230,8 @@
 	l := g.l
 	j := c.job
 	c.dirty, c.lazy = false, false
-	starts := c.starts
-	c.starts = nil
+	starts, marks := c.starts, c.marks
+	c.starts, c.marks = nil, nil
 	g.unsaved -= len(starts)
 	keep := starts[:0]
 	for _, a := range starts {
@@ -253,6 +254,7 @@
 	c.inFlight = true
 	b.chunks = append(b.chunks, c)
 	b.starts = append(b.starts, keep)
+	b.marks = append(b.marks, marks)
 	var saved []*task
 	r := bookkeeping.Chunk{}
 	done := make([]bool, len(c.tasks))
@@ -268,12 +270,13 @@
 		if t.attempt > 0 {
 			tr := bookkeeping.TaskRecord{Offset: i, Attempt: t.attempt}
 			if t.live != nil {
-				tr.Machine = t.live.machine.name
+				tr.Machine = t.live.machine.Name
 			}
 			r.Tasks = append(r.Tasks, tr)
 		}
 	}
 	r.SetDone(done)
+	c.setMoved(&r)
 	b.saved = append(b.saved, saved)
 	key := bookkeeping.KeyChunk(j.ID, c.index)
 	b.when(key, c.version)
@@ -303,6 +306,9 @@
 				}
 				l.orderSoon(a)
 			}
+			for _, a := range b.marks[i] {
+				l.balance.marked(a)
+			}
 		}
 		for _, k := range b.puts {
 			l.groupWritten(k)
@@ -364,6 +370,7 @@
 				g.unsaved++
 			}
 		}
+		c.marks = append(c.marks, b.marks[i]...)
 		if reread != nil && reread(c) {
 			c.known = false
 			unsure = append(unsure, c)
--- a/internal/coordination/lead.go
+++ b/internal/coordination/lead.go
@@ -98,7 +98,7 @@
 	pressing  bool // its patience has a timer
 	image     int32
 
-	shape shapeKey // made on first use
+	shape placement.ShapeKey // made on first use
 
 	runs      balance.Runs // of its completed tasks
 	heldIn    uint64       // surge in which tasks waited for a machine below the ceiling
@@ -124,6 +124,7 @@
 	due      time.Time
 	inFlight bool
 	starts   []*attempt // placed since the last write
+	marks    []*attempt // to be stopped once it is on record that they move
 }
 
 type task struct {
@@ -132,6 +133,7 @@
 	done    bool
 	saved   bool        // recorded as done
 	exit    *shard.Task // whose owner waits for that
+	moved   uint64      // surge in which it was moved; 0: none
 }
 
 // attempt is one try at a task on a machine, until proven gone.
--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -226,7 +226,7 @@
 				stopped[o.Index] = true
 			}
 			m.seq++
-			body := protocol.EncodeReport(&protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: m.seq, Token: l.tenure.token(),
+			body := protocol.EncodeReport(&protocol.Report{Machine: m.Name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: m.seq, Token: l.tenure.token(),
 				Tasks: reported(m)})
 			next = append(next, n.Result(n.now, c.ID, Outcome{Answered: true, Status: 200, Body: body}).Calls...)
 		}
@@ -237,7 +237,7 @@
 	}
 	// The same by the answer of a report.
 	m.seq++
-	r := &protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: m.seq, Token: l.tenure.token(), Tasks: reported(m)}
+	r := &protocol.Report{Machine: m.Name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: m.seq, Token: l.tenure.token(), Tasks: reported(m)}
 	e := n.Request(n.now, 99, "POST", protocol.PathReport, protocol.EncodeReport(r))
 	if len(e.Replies) != 1 || len(e.Replies[0].Body) > protocol.MaxBody {
 		t.Fatalf("answers: %d", len(e.Replies))
@@ -268,7 +268,7 @@
 	l.addJob(&bookkeeping.Job{Submitted: bookkeeping.Millis(n.now), Chunk: 96, Spec: spec})
 	fill(l)
 	m := l.fleetList[0]
-	r := &protocol.Report{Machine: m.name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: 1, Tasks: reported(m)}
+	r := &protocol.Report{Machine: m.Name, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: 1, Tasks: reported(m)}
 	if size := len(protocol.EncodeReport(r)); len(r.Tasks) < 300 || size > protocol.MaxBody {
 		t.Errorf("%d tasks in a report of %d bytes", len(r.Tasks), size)
 	}
@@ -436,12 +436,12 @@
 func TestLooksGrowWithTheFleet(t *testing.T) {
 	const machines, perMachine, perBin = 2000, 20, 60
 	l := loneReplicas(machines)
-	v := l.newMoves()
+	p := l.newPlanner()
 	for _, m := range l.fleetList {
-		v.take(m)
+		m.emptied(p, false)
 	}
-	if v.looked > perMachine*machines {
-		t.Errorf("%d machines were looked at for the replicas of %d", v.looked, machines)
+	if p.Looked > perMachine*machines {
+		t.Errorf("%d machines were looked at for the replicas of %d", p.Looked, machines)
 	}
 	l = bootingFleet(machines)
 	g := l.newGrowth()
--- a/internal/coordination/listing.go
+++ b/internal/coordination/listing.go
@@ -151,7 +151,7 @@
 		// A list may be as old as twice its lag. One that should show the
 		// machine and doesn't proves that it is gone, once that holds for
 		// longer than any list can lag.
-		if seen[m.name] || m.releasing || n.now.Sub(m.rented) < 3*n.cfg.ListLag+10*time.Second {
+		if seen[m.Name] || m.releasing || n.now.Sub(m.rented) < 3*n.cfg.ListLag+10*time.Second {
 			continue
 		}
 		if m.up && n.now.Sub(m.heard) < 3*n.cfg.ListLag {
--- a/internal/coordination/load.go
+++ b/internal/coordination/load.go
@@ -181,6 +181,7 @@
 		l.n.log.Error("unreadable chunk record", "job", id, "chunk", index, "err", err)
 		return
 	}
+	c.loadMoved(&r, l.n.log)
 	base := index * j.size
 	for i, d := range done {
 		if d {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -13,14 +13,14 @@
 // machine is one rented machine and what is known of it.
 type machine struct {
 	placement.Machine
-	load       *balance.Load // nil while balance is off
-	name, addr string
-	rented     time.Time
-	inherited  bool   // known from an earlier leader's record
-	recorded   bool   // a record that names it is written: placements may name it
-	group      *group // whose record that is
-	removed    bool
-	tenure     *tenure // of who serves it here
+	load      *balance.Load // nil while balance is off
+	addr      string
+	rented    time.Time
+	inherited bool   // known from an earlier leader's record
+	recorded  bool   // a record that names it is written: placements may name it
+	group     *group // whose record that is
+	removed   bool
+	tenure    *tenure // of who serves it here
 
 	// From reports.
 	up         bool // it has reported to this leader
@@ -64,6 +64,7 @@
 	wasUp      bool                  // its worker was heard by somebody before
 	listed     bool                  // the leader told of all attempts that may be on it
 	anew       bool                  // its worker lost its memory
+	heldFor    int                   // moves whose room is held here
 	disowned   bool                  // its worker has seen a later token than its shard's
 	exits      map[taskKey]*toldExit // that the leader was told of
 	strays     map[taskKey]uint64    // attempts it was asked about
@@ -71,7 +72,6 @@
 
 	failures  map[string]int // failed attempts by job since the last success
 	sick      bool
-	emptying  bool // takes new tasks only when no other has room
 	draining  bool // to be returned: takes nothing more
 	releasing bool // its release was asked for
 	given     bool // for its silence alone, and no such call can have been carried out
@@ -81,7 +81,7 @@
 }
 
 func (l *lead) newMachine(name, typ, zone string, spot bool) *machine {
-	m := &machine{Machine: placement.Machine{Type: typ, Zone: zone, Spot: spot, Spec: l.n.types[typ]}, name: name, rented: l.n.now,
+	m := &machine{Machine: placement.Machine{Name: name, Type: typ, Zone: zone, Spot: spot, Spec: l.n.types[typ]}, rented: l.n.now,
 		attempts: map[taskKey]*attempt{}, emptySince: l.n.now, failures: map[string]int{}}
 	m.load = l.balance.newLoad()
 	if l.shards == nil {
@@ -167,9 +167,9 @@
 		return
 	}
 	m.removed = true
-	l.n.logEach("machine gone", "machine", m.name, "why", why, "attempts", len(m.attempts))
-	l.gone[m.name] = l.n.now
-	delete(l.machines, m.name)
+	l.n.logEach("machine gone", "machine", m.Name, "why", why, "attempts", len(m.attempts))
+	l.gone[m.Name] = l.n.now
+	delete(l.machines, m.Name)
 	if i := slices.Index(l.fleetList, m); i >= 0 {
 		l.fleetList = slices.Delete(l.fleetList, i, i+1)
 	}
--- a/internal/coordination/machines_test.go
+++ b/internal/coordination/machines_test.go
@@ -87,19 +87,19 @@
 		return l.best(&c, j)
 	}
 	if got := best(); got != list[1] {
-		t.Errorf("without images: %s", got.name)
+		t.Errorf("without images: %s", got.Name)
 	}
 	list[0].Images.Add(j.image, 1, 3)
 	if got := best(); got != list[0] {
-		t.Errorf("with the image on vm-1: %s", got.name)
+		t.Errorf("with the image on vm-1: %s", got.Name)
 	}
-	list[0].emptying = true
+	list[0].Emptying = true
 	if got := best(); got != list[1] {
-		t.Errorf("with vm-1 being emptied: %s", got.name)
+		t.Errorf("with vm-1 being emptied: %s", got.Name)
 	}
 	list[1].Taken.CPUs, list[2].Taken.CPUs = 4, 4
 	if got := best(); got != list[0] {
-		t.Errorf("with room only there: %s", got.name)
+		t.Errorf("with room only there: %s", got.Name)
 	}
 }
 
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"brasskeel/internal/coordination/balance"
 	"brasskeel/internal/coordination/placement"
 	"brasskeel/internal/protocol"
 )
@@ -24,35 +25,35 @@
 		if !l.open(m) {
 			continue
 		}
-		if !m.emptying {
+		if !m.Emptying {
 			fixedRoom += l.fixedRoom(m)
 		}
-		if m.onlyServices() && (m.emptying || m.Taken.CPUs <= m.Spec.CPUs/2+protocol.Epsilon) && n.now.Sub(m.rented) > 2*minimumCharge {
+		if m.onlyServices() && (m.Emptying || m.Taken.CPUs <= m.Spec.CPUs/2+protocol.Epsilon) && n.now.Sub(m.rented) > 2*minimumCharge {
 			candidates = append(candidates, m)
 		}
 	}
 	dearestFirst(candidates)
 	left := max(1, len(l.fleetList)/movesAtOnce)
-	moves := l.newMoves()
+	plan := &lazyPlanner{l: l}
 	for _, m := range candidates {
 		if left == 0 {
 			return
 		}
-		if _, target := moves.taken[m]; target {
-			continue
+		if plan.get().Snapshot().Taken(m.Name) != (placement.Resources{}) {
+			continue // replicas are to move here
 		}
-		if room := l.fixedRoom(m); !m.emptying && room > 0 && fixedRoom-m.Spec.CPUs < l.fixedNeed() {
+		if room := l.fixedRoom(m); !m.Emptying && room > 0 && fixedRoom-m.Spec.CPUs < l.fixedNeed() {
 			continue
 		}
-		if !moves.take(m) {
+		if !m.emptied(plan.get(), false) {
 			continue
 		}
-		n.logEach("moving replicas", "machine", m.name, "attempts", len(m.attempts))
-		if !m.emptying {
+		n.logEach("moving replicas", "machine", m.Name, "attempts", len(m.attempts))
+		if !m.Emptying {
 			fixedRoom -= l.fixedRoom(m)
 		}
 		l.fleet.movedAt = n.now
-		m.emptying = true
+		m.Emptying = true
 		left--
 		for _, a := range m.sorted() {
 			l.stopAttempt(a, 0)
@@ -60,86 +61,18 @@
 	}
 }
 
-// moves is one look at where replicas could move to. Machines are looked up by the image
-// that they hold, and each search goes on where the last one for the same kind of replica
-// ended: with one search through the whole fleet for every replica, a fleet of 4,000 took a
-// third of a second, many times that on a small share of a processor.
-type moves struct {
-	l       *lead
-	holders map[holding][]*machine // in the order of the fleet; nil before the first search
-	taken   map[*machine]room
-	from    map[moveKey]searched
-	changes map[holding]int // times that a machine became one that may be moved to
-	looked  int             // machines that were looked at, over all searches
-}
-
-// room is what a machine gives to replicas that are to move there.
-type room = placement.Resources
-
-// holding is an image on the machines of a zone.
-type holding struct {
-	image int32
-	zone  string
-}
-
-// moveKey is what decides where a replica may move to.
-type moveKey struct {
-	holding holding
-	shape   shapeKey
-}
-
-// searched is how far a search has come: those before it take no more of the kind, unless
-// there were changes since.
-type searched struct{ next, changes int }
-
-func (l *lead) newMoves() *moves {
-	return &moves{l: l, taken: map[*machine]room{}, from: map[moveKey]searched{}, changes: map[holding]int{}}
-}
-
-// index lists the machines that hold an image.
-func (v *moves) index() {
-	v.holders = map[holding][]*machine{}
-	for _, m := range v.l.fleetList {
-		for id := range m.Images.All {
-			k := holding{id, m.Zone}
-			v.holders[k] = append(v.holders[k], m)
-		}
+// newPlanner is a planner for the fleet as it is now.
+func (l *lead) newPlanner() *balance.Planner {
+	sites := make([]balance.Site, len(l.fleetList))
+	for i, m := range l.fleetList {
+		sites[i] = balance.Site{Machine: &m.Machine, Load: m.load}
 	}
+	return balance.NewPlanner(sites, func(m *placement.Machine) bool { return l.open(l.machines[m.Name]) })
 }
 
-// take reports whether each replica on a machine runs and finds room and its image
-// elsewhere, beside what is taken already, and takes that room if so.
-func (v *moves) take(m *machine) bool {
-	plan, ok := v.plan(m)
-	if !ok {
-		return false
-	}
-	for o, t := range plan {
-		v.taken[o] = t
-	}
-	return true
-}
-
-// possible is take for a machine by itself: nothing is taken by it or by others.
-func (v *moves) possible(m *machine) bool {
-	_, ok := v.plan(m)
-	return ok
-}
-
-// stays keeps a machine that was being emptied.
-func (v *moves) stays(m *machine) {
-	m.emptying = false
-	for id := range m.Images.All {
-		v.changes[holding{id, m.Zone}]++
-	}
-}
-
-// plan finds room for each replica on a machine.
-func (v *moves) plan(m *machine) (plan map[*machine]room, ok bool) {
-	if v.holders == nil {
-		v.index()
-	}
-	plan = map[*machine]room{}
+// replicasOf are the replicas on a machine, in a fixed order; false if one of them doesn't run
+// or has to wait for others of its service.
+func (m *machine) replicasOf() (list []balance.Replica, settled bool) {
 	for _, a := range m.sorted() {
 		j := a.job
 		if j.Kind != protocol.Service {
@@ -148,55 +81,27 @@
 		if a.state != protocol.Running || a.stop || j.toStart() > 0 {
 			return nil, false
 		}
-		o := v.find(m, j, plan)
-		if o == nil {
-			return nil, false
-		}
-		t := v.room(o, plan)
-		plan[o] = t.Plus(placement.Needs(j.Job))
+		list = append(list, balance.Replica{Task: j.wants(), Shape: shapeOf(j)})
 	}
-	return plan, true
+	return list, true
 }
 
-// room is what a machine gives by now.
-func (v *moves) room(o *machine, plan map[*machine]room) room {
-	if t, planned := plan[o]; planned {
-		return t
-	}
-	return v.taken[o]
+// emptied reports whether a machine's replicas find room elsewhere, and takes it unless this
+// is but a try.
+func (m *machine) emptied(p *balance.Planner, try bool) bool {
+	replicas, settled := m.replicasOf()
+	return settled && p.Empty(&m.Machine, replicas, try)
 }
 
-// find is the first machine but m that a replica of a job may move to.
-func (v *moves) find(m *machine, j *job, plan map[*machine]room) *machine {
-	key := moveKey{holding{j.image, m.Zone}, keyOf(j)}
-	s := v.from[key]
-	if s.changes != v.changes[key.holding] {
-		s = searched{changes: v.changes[key.holding]}
-	}
-	list := v.holders[key.holding]
-	sure := true // that those looked at take no more, whatever machine is asked for next
-	defer func() { v.from[key] = s }()
-	for i := s.next; i < len(list); i++ {
-		o := list[i]
-		v.looked++
-		fits := v.fits(o, j, plan)
-		if fits && o != m {
-			return o
-		}
-		_, planned := plan[o]
-		sure = sure && !fits && !planned
-		if sure {
-			s.next = i + 1
-		}
-	}
-	return nil
+// lazyPlanner makes a planner on first use: most looks at the fleet need none.
+type lazyPlanner struct {
+	l *lead
+	p *balance.Planner
 }
 
-// fits reports whether a replica of a job may move to a machine.
-func (v *moves) fits(o *machine, j *job, plan map[*machine]room) bool {
-	if o.emptying || !v.l.open(o) || !o.Allows(j.Job) || !o.RoomInReport(j.Job) {
-		return false
+func (z *lazyPlanner) get() *balance.Planner {
+	if z.p == nil {
+		z.p = z.l.newPlanner()
 	}
-	t := v.room(o, plan)
-	return o.Taken.Plus(o.Held).Plus(t).Plus(placement.Needs(j.Job)).Within(placement.Capacity(o.Spec))
+	return z.p
 }
--- a/internal/coordination/observe.go
+++ b/internal/coordination/observe.go
@@ -98,7 +98,7 @@
 			l.failed(m, a)
 		}
 		if t.Why == protocol.ExitNoRoom || t.Why == protocol.ExitBusy || t.Why == protocol.ExitUnknown {
-			l.n.logEach("start refused", "machine", m.name, "job", t.Job, "task", t.Index, "why", t.Why)
+			l.n.logEach("start refused", "machine", m.Name, "job", t.Job, "task", t.Index, "why", t.Why)
 			j.notBefore = l.n.now.Add(500 * time.Millisecond)
 			l.n.after(510*time.Millisecond, func() {
 				if l.alive() {
--- a/internal/coordination/operations_test.go
+++ b/internal/coordination/operations_test.go
@@ -339,7 +339,7 @@
 		a.recorded, a.seen = true, true
 		l.setState(a, protocol.Running)
 		n.now = n.now.Add(guestsStay + time.Second)
-		m.heard, m.answered, m.emptying = n.now, n.now, true
+		m.heard, m.answered, m.Emptying = n.now, n.now, true
 		l.shrink()
 		if a.stop != c.leaves {
 			t.Errorf("%+v: told to stop %t", c, a.stop)
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -118,7 +118,7 @@
 	if out.Answered && (out.Status == 200 || out.Status == 409) {
 		r, _ = protocol.ParseReport(out.Body)
 	}
-	if r == nil || r.Machine != m.name {
+	if r == nil || r.Machine != m.Name {
 		o.directUnanswered(m, starts, out)
 		return
 	}
--- a/internal/coordination/overload_test.go
+++ b/internal/coordination/overload_test.go
@@ -53,7 +53,7 @@
 	}
 	for _, m := range l.fleetList {
 		if !m.probing {
-			t.Fatalf("%s is not asked", m.name)
+			t.Fatalf("%s is not asked", m.Name)
 		}
 	}
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -18,6 +18,7 @@
 	}
 	l.markGuarantees()
 	l.balance.beginRound()
+	l.balance.land()
 	order := l.waitingOrder()
 	l.fleet.unmet, l.fleet.partly = l.fleet.unmet[:0], false
 	l.full, l.work = l.full[:0], len(l.fleetList)+len(order)
@@ -229,7 +230,7 @@
 			continue
 		}
 		l.assign(j, i, m)
-		m.emptying = false // it is needed after all
+		m.Emptying = false // it is needed after all
 		l.again(&c, j)
 	}
 	left := j.toStart() - held
@@ -273,13 +274,18 @@
 	}
 	for _, m := range chosen {
 		l.assign(j, j.peekTask(), m)
-		m.emptying = false
+		m.Emptying = false
 	}
 	return 0
 }
 
 func (l *lead) assign(j *job, i int, m *machine) {
 	j.takeTask()
+	l.start(j, i, m)
+}
+
+// start begins a new attempt at a task that waits no more.
+func (l *lead) start(j *job, i int, m *machine) {
 	t := j.task(i)
 	t.attempt++
 	a := &attempt{job: j, task: i, number: t.attempt, machine: m, placed: l.n.now, since: l.n.now}
--- a/internal/coordination/placement/candidates.go
+++ b/internal/coordination/placement/candidates.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"slices"
+	"strings"
 
 	"brasskeel/internal/protocol"
 )
@@ -103,3 +104,15 @@
 	}
 	return false
 }
+
+// ShapeKey is a shape that can be looked up.
+type ShapeKey struct {
+	needs       Resources
+	zone, types string
+	spot        bool
+}
+
+// KeyOf is the key of the shape of a job's tasks.
+func KeyOf(j *protocol.Job) ShapeKey {
+	return ShapeKey{Needs(j), j.Zone, strings.Join(j.Types, " "), j.Spot}
+}
--- a/internal/coordination/placement/room.go
+++ b/internal/coordination/placement/room.go
@@ -31,9 +31,11 @@
 
 // Machine is what placement knows of a machine.
 type Machine struct {
+	Name       string
 	Type, Zone string
 	Spot       bool
 	Spec       *protocol.MachineType // nil for an unknown type
+	Emptying   bool                  // takes new tasks only when no other has room
 
 	Taken       Resources // by all attempts that aren't proven gone
 	Ending      Resources // of that, by attempts that were told to end
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -33,7 +33,7 @@
 // free stops attempts on a machine and promises the room to a job.
 func (l *lead) free(m *machine, victims []*attempt, j *job) {
 	for _, a := range victims {
-		l.n.log.Debug("preempted", "job", a.job.ID, "task", a.task, "machine", m.name, "for", j.ID, "lost", l.wasted(a))
+		l.n.log.Debug("preempted", "job", a.job.ID, "task", a.task, "machine", m.Name, "for", j.ID, "lost", l.wasted(a))
 		l.stopAttempt(a, l.saveGrace(a))
 	}
 	m.Promise(j.Job)
--- a/internal/coordination/probes.go
+++ b/internal/coordination/probes.go
@@ -158,7 +158,7 @@
 		r, _ = protocol.ParseReport(out.Body)
 	}
 	switch {
-	case r == nil || r.Machine != m.name:
+	case r == nil || r.Machine != m.Name:
 		m.probeFails++
 		o.observer.probeFailed(m)
 		// Perhaps only calls fail. A token that the worker hasn't seen yet tells,
@@ -169,7 +169,7 @@
 	case r.Session < session:
 		// This was asked after the newer session was heard of, so the worker has
 		// lost what it knew: it was started anew and counts from the beginning.
-		o.n.log.Warn("worker began anew", "machine", m.name, "session", r.Session, "before", m.session)
+		o.n.log.Warn("worker began anew", "machine", m.Name, "session", r.Session, "before", m.session)
 		o.observer.beganAnew(m)
 	case m.newer(r):
 		o.takeReport(m, r, false)
@@ -196,7 +196,7 @@
 		}
 		m.directBusy = false
 		r, err := protocol.ParseReport(out.Body)
-		if out.Answered && out.Status == 200 && err == nil && r.Machine == m.name && !m.removed && m.newer(r) {
+		if out.Answered && out.Status == 200 && err == nil && r.Machine == m.Name && !m.removed && m.newer(r) {
 			o.takeReport(m, r, false)
 		}
 		o.sendDirect(m)
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -27,7 +27,7 @@
 	orders := o.takeReport(m, r, true)
 	n.reply(id, 200, protocol.ReportAnswer(o.machineToken(m), orders))
 	if len(orders) > 0 {
-		n.log.Debug("orders", "machine", m.name, "count", len(orders), "seq", r.Seq)
+		n.log.Debug("orders", "machine", m.Name, "count", len(orders), "seq", r.Seq)
 	}
 }
 
@@ -39,7 +39,7 @@
 	o.noteReached(m, r, reported)
 	if r.HasNotice && m.noticeAt.IsZero() {
 		m.noticeAt = o.n.now.Add(r.Notice)
-		o.n.logEach("machine will be taken", "machine", m.name, "in", r.Notice)
+		o.n.logEach("machine will be taken", "machine", m.Name, "in", r.Notice)
 		o.observer.noticeCame(m)
 	}
 	if !o.loaded && !m.listed {
@@ -79,7 +79,7 @@
 		m.up = true
 		m.Zone, m.Type, m.Spot = r.Zone, r.Type, r.Spot
 		m.firstHeard = n.now
-		n.log.Debug("machine reports", "machine", m.name, "type", m.Type, "zone", m.Zone, "session", r.Session)
+		n.log.Debug("machine reports", "machine", m.Name, "type", m.Type, "zone", m.Zone, "session", r.Session)
 		o.observer.machineUp(m)
 	}
 	newSession := r.Session != m.session
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -16,7 +16,7 @@
 	for _, m := range l.fleetList {
 		if m.Spec != nil && m.up && !m.draining && !m.releasing {
 			used += m.Taken.CPUs
-			if !m.emptying {
+			if !m.Emptying {
 				free += m.Spec.CPUs - m.Taken.CPUs
 				fixedRoom += l.fixedRoom(m)
 			}
@@ -25,7 +25,7 @@
 	want := l.headroom(used)
 	fixedNeed := l.fixedNeed()
 	var candidates []*machine
-	moves := l.newMoves()
+	plan := &lazyPlanner{l: l}
 	for _, m := range append([]*machine(nil), l.fleetList...) {
 		if m.releasing {
 			continue
@@ -38,12 +38,13 @@
 			l.release(m, "unknown type")
 		case !m.noticeAt.IsZero() && n.now.After(m.noticeAt.Add(2*time.Second)) && len(m.attempts) == 0:
 			l.release(m, "taken")
-		case m.emptying && len(m.attempts) == 0 && age > minimumCharge && n.now.Sub(m.emptySince) > n.op.Idle():
+		case m.Emptying && len(m.attempts) == 0 && m.heldFor == 0 && age > minimumCharge && n.now.Sub(m.emptySince) > n.op.Idle():
 			l.release(m, "not needed")
-		case m.emptying && l.sendGuestsOff(m):
-		case m.emptying && m.onlyServices() && !moves.possible(m):
-			moves.stays(m) // for its replicas, so others may use it, too
-		case m.up && m.recorded && m.Spec != nil && !m.draining && !m.emptying && m.noticeAt.IsZero():
+		case m.Emptying && l.sendGuestsOff(m):
+		case m.Emptying && m.onlyServices() && !m.emptied(plan.get(), true):
+			m.Emptying = false // it stays for its replicas, so others may use it, too
+			plan.get().Stays(&m.Machine)
+		case m.up && m.recorded && m.Spec != nil && !m.draining && !m.Emptying && m.heldFor == 0 && m.noticeAt.IsZero():
 			candidates = append(candidates, m)
 		}
 	}
@@ -59,13 +60,13 @@
 			continue
 		}
 		// Replicas would hold it for long, unless they can go elsewhere.
-		if m.ReplicaCPUs > 0 && (m.ReplicaCPUs > m.Spec.CPUs/2+protocol.Epsilon || !moves.take(m)) {
+		if m.ReplicaCPUs > 0 && (m.ReplicaCPUs > m.Spec.CPUs/2+protocol.Epsilon || !m.emptied(plan.get(), false)) {
 			continue
 		}
 		free -= m.Spec.CPUs - m.Taken.CPUs
 		fixedRoom -= room
-		m.emptying = true
-		n.log.Debug("emptying machine", "machine", m.name, "cpus", m.Taken.CPUs)
+		m.Emptying = true
+		n.log.Debug("emptying machine", "machine", m.Name, "cpus", m.Taken.CPUs)
 	}
 }
 
@@ -138,7 +139,7 @@
 func (l *lead) keep(m *machine) {
 	if m.releasing && m.given && !m.inRelease && !m.draining {
 		m.releasing, m.given = false, false
-		l.n.logEach("machine heard before it was returned", "machine", m.name)
+		l.n.logEach("machine heard before it was returned", "machine", m.Name)
 		l.askPlace()
 	}
 }
@@ -150,7 +151,7 @@
 	}
 	m.releasing = true
 	m.given = why == whySilent
-	l.n.logEach("returning machine", "machine", m.name, "why", why, "attempts", len(m.attempts), "up", m.up, "quiet", l.n.now.Sub(latest(m.heard, m.rented)).Round(time.Millisecond))
+	l.n.logEach("returning machine", "machine", m.Name, "why", why, "attempts", len(m.attempts), "up", m.up, "quiet", l.n.now.Sub(latest(m.heard, m.rented)).Round(time.Millisecond))
 	l.sendReleases()
 }
 
@@ -163,7 +164,7 @@
 	var list []*machine
 	for _, m := range l.fleetList {
 		if m.releasing && n.now.Sub(m.releaseAt) > releaseRetry && len(names) < protocol.MaxRelease {
-			names = append(names, m.name)
+			names = append(names, m.Name)
 			list = append(list, m)
 		}
 	}
--- a/internal/coordination/shard_feed.go
+++ b/internal/coordination/shard_feed.go
@@ -66,7 +66,7 @@
 func (f *ownerFeed) tellGrants() { f.flush() }
 
 func attemptTask(a *attempt) shard.Task {
-	return shard.Task{Machine: a.machine.name, Job: a.job.ID, Index: a.task, Attempt: a.number}
+	return shard.Task{Machine: a.machine.Name, Job: a.job.ID, Index: a.task, Attempt: a.number}
 }
 
 // soon wants a line sent, at the end of the step or when the last one is long enough ago.
@@ -165,7 +165,7 @@
 }
 
 func (f *ownerFeed) worker(m *machine) shard.Worker {
-	w := shard.Worker{Machine: m.name, Shard: m.shard, Addr: m.addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Anew: m.anew}
+	w := shard.Worker{Machine: m.Name, Shard: m.shard, Addr: m.addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Anew: m.anew}
 	if m.up {
 		w.Session, w.Compared, w.Reached = m.session, m.reconciled, !m.reached.IsZero()
 	}
@@ -343,7 +343,7 @@
 	if !o.expected(m) || silent <= o.suspectAfter() && m.probeFails == 0 && unreached <= o.reachAfter() && unreported <= o.suspectAfter()+lostReport {
 		return shard.Late{}, false
 	}
-	return shard.Late{Machine: m.name, Silent: silent.Milliseconds(), Unreached: unreached.Milliseconds(),
+	return shard.Late{Machine: m.Name, Silent: silent.Milliseconds(), Unreached: unreached.Milliseconds(),
 		Unreported: unreported.Milliseconds(), Fails: m.probeFails}, true
 }
 
--- a/internal/coordination/shard_guards_test.go
+++ b/internal/coordination/shard_guards_test.go
@@ -75,11 +75,11 @@
 	a.machine.heard, a.machine.answered, a.machine.reached, a.machine.firstHeard = l.n.now, l.n.now, l.n.now, l.n.now
 	l.n.now = l.n.now.Add(time.Minute)
 	if s := l.survey(); len(s.silent) != 0 {
-		t.Errorf("%s is given up while nobody tells of it", a.machine.name)
+		t.Errorf("%s is given up while nobody tells of it", a.machine.Name)
 	}
 	l.shards.take("n1", seen(l, "n1", 5, 2)) // its status comes within a second
 	if s := l.survey(); len(s.silent) != 0 {
-		t.Errorf("%s is given up as soon as its owner is heard again", a.machine.name)
+		t.Errorf("%s is given up as soon as its owner is heard again", a.machine.Name)
 	}
 }
 
--- a/internal/coordination/shard_leader_seen.go
+++ b/internal/coordination/shard_leader_seen.go
@@ -189,13 +189,13 @@
 	k.late = nil
 	known, lost := 0, 0
 	for _, m := range l.fleetList {
-		if k.told[m.shard] == 0 || sl.may(k, m.name) == nil {
+		if k.told[m.shard] == 0 || sl.may(k, m.Name) == nil {
 			continue
 		}
 		if m.up {
 			known++
 		}
-		w := late[m.name]
+		w := late[m.Name]
 		if w == nil {
 			if m.up {
 				m.heard, m.answered, m.probeFails = n.now, n.now, 0
--- a/internal/coordination/shard_leader_tell.go
+++ b/internal/coordination/shard_leader_tell.go
@@ -58,7 +58,7 @@
 func (sl *shardLeader) tellGone(m *machine) {
 	if k := sl.owner(m.shard); k != nil {
 		delete(k.listed, m)
-		k.line.Gone = append(k.line.Gone, m.name)
+		k.line.Gone = append(k.line.Gone, m.Name)
 		sl.soon(k)
 	}
 }
@@ -143,10 +143,10 @@
 
 // sizeInLine is about how long a machine is in a line.
 func (sl *shardLeader) sizeInLine(m *machine) int {
-	entry := shard.Machine{Name: m.name, Addr: m.addr, Type: m.Type, Zone: m.Zone}
+	entry := shard.Machine{Name: m.Name, Addr: m.addr, Type: m.Type, Zone: m.Zone}
 	size := entry.Size()
 	for _, a := range m.list {
-		size += shard.RunSize(m.name, a.job.ID)
+		size += shard.RunSize(m.Name, a.job.ID)
 	}
 	return size
 }
@@ -161,7 +161,7 @@
 
 // machine is a machine with all attempts that may be on it.
 func (sl *shardLeader) machine(m *machine, term uint64) shard.Machine {
-	k := shard.Machine{Shard: m.shard, Term: term, Name: m.name, Addr: m.addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+	k := shard.Machine{Shard: m.shard, Term: term, Name: m.Name, Addr: m.addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 		Up: m.up || m.inherited && !sl.l.booting(m)}
 	for _, a := range m.sorted() {
 		if !a.recorded {
--- a/internal/coordination/shard_owner.go
+++ b/internal/coordination/shard_owner.go
@@ -103,7 +103,7 @@
 		if m.shard != id {
 			return false
 		}
-		o.moved[m.name] = id
+		o.moved[m.Name] = id
 		o.forgetHeld(m)
 		return true
 	})
@@ -113,7 +113,7 @@
 // forgetHeld drops what is known of a machine that isn't served any more.
 func (o *shardOwner) forgetHeld(m *machine) {
 	m.removed, m.tenure = true, nil
-	delete(o.machines, m.name)
+	delete(o.machines, m.Name)
 	for _, a := range m.list {
 		delete(a.job.held, a)
 	}
@@ -266,7 +266,7 @@
 }
 
 func (o *shardOwner) newMachine(k shard.Machine, h *heldShard) *machine {
-	m := &machine{Machine: placement.Machine{Type: k.Type, Zone: k.Zone, Spot: k.Spot}, name: k.Name, addr: k.Addr, shard: k.Shard, tenure: &h.tenure,
+	m := &machine{Machine: placement.Machine{Name: k.Name, Type: k.Type, Zone: k.Zone, Spot: k.Spot}, addr: k.Addr, shard: k.Shard, tenure: &h.tenure,
 		attempts: map[taskKey]*attempt{}, exits: map[taskKey]*toldExit{}, strays: map[taskKey]uint64{}, strayStops: map[taskKey]uint64{}}
 	o.machines[k.Name] = m
 	o.fleetList = append(o.fleetList, m)
@@ -383,7 +383,7 @@
 
 // attemptGone implements observer.
 func (o *shardOwner) attemptGone(a *attempt, why string) {
-	o.n.log.Debug("attempt gone", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.name, "why", why)
+	o.n.log.Debug("attempt gone", "job", a.job.ID, "task", a.task, "attempt", a.number, "machine", a.machine.Name, "why", why)
 	o.remove(a)
 	o.feed.tellGone(a, why)
 }
@@ -406,7 +406,7 @@
 // laterToken implements observer: somebody took the shard after this owner, which will
 // see it in the table.
 func (o *shardOwner) laterToken(m *machine) {
-	o.n.log.Info("a worker has seen a later owner", "machine", m.name, "shard", m.shard)
+	o.n.log.Info("a worker has seen a later owner", "machine", m.Name, "shard", m.shard)
 	if h := o.held[m.shard]; h != nil && !h.overtaken && !m.disowned {
 		m.disowned = true
 		h.setOvertaken(true)
@@ -423,7 +423,7 @@
 	j.outcome = s
 	held := slices.Collect(maps.Keys(j.held))
 	slices.SortFunc(held, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(a.machine.name, b.machine.name), compareAttempts(a, b))
+		return cmp.Or(cmp.Compare(a.machine.Name, b.machine.Name), compareAttempts(a, b))
 	})
 	for _, a := range held {
 		o.stop(a, 0)
@@ -488,7 +488,7 @@
 }
 
 func taskOf(m *machine, t *protocol.TaskReport) shard.Task {
-	return shard.Task{Machine: m.name, Job: t.Job, Index: t.Index, Attempt: t.Attempt}
+	return shard.Task{Machine: m.Name, Job: t.Job, Index: t.Index, Attempt: t.Attempt}
 }
 
 // grants are the shards that are served now, and their terms.
--- a/internal/coordination/silence_test.go
+++ b/internal/coordination/silence_test.go
@@ -53,7 +53,7 @@
 		calls(n.Tick(now))
 		for _, m := range cut {
 			if m.releasing {
-				return m.name, asked
+				return m.Name, asked
 			}
 		}
 	}
--- a/internal/coordination/unfit_test.go
+++ b/internal/coordination/unfit_test.go
@@ -71,7 +71,7 @@
 		}
 		for _, m := range l.fleetList {
 			if !c.stays && m.releasing {
-				t.Errorf("a leader that %s gave up %s before it gave way", c.name, m.name)
+				t.Errorf("a leader that %s gave up %s before it gave way", c.name, m.Name)
 			}
 		}
 		if !again && n.unfit() == c.stays {
@@ -133,7 +133,7 @@
 	}
 	for _, m := range l.fleetList {
 		if m.releasing {
-			t.Errorf("%s was given up before", m.name)
+			t.Errorf("%s was given up before", m.Name)
 		}
 	}
 }
--- a/internal/standin/balance_curve_test.go
+++ b/internal/standin/balance_curve_test.go
@@ -25,14 +25,20 @@
 	for _, trade := range []float64{0, 1, 2, 5, 20} {
 		settings = append(settings, &config.Balance{CeilingShare: 0.5, FetchQueueSeconds: 20, TradeSeconds: trade})
 	}
+	for _, trade := range []float64{2, 10, 30} {
+		settings = append(settings, &config.Balance{CeilingShare: 0.5, FetchQueueSeconds: 20, TradeSeconds: trade, Moves: true, MoveMargin: 1.5})
+	}
 	for _, ceiling := range []float64{0.25, 0.75} {
 		settings = append(settings, &config.Balance{CeilingShare: ceiling, FetchQueueSeconds: 20, TradeSeconds: 2})
 	}
-	fmt.Println("| setting | team above half, of machine-seconds | mean share | waits of the team, median and 99% | of others | GB fetched | changes |")
+	fmt.Println("| setting | team above half, of machine-seconds | mean share | waits of the team, median and 99% | of others | GB fetched | changes | tasks moved |")
 	for _, b := range settings {
 		name := "off"
 		if b != nil {
 			name = fmt.Sprintf("ceiling %g, trade %g s", b.CeilingShare, b.TradeSeconds)
+			if b.Moves {
+				name += ", moves"
+			}
 		}
 		fmt.Println("|", name, "|", measureSurge(t, machines, b), "|")
 	}
@@ -41,7 +47,7 @@
 // measureSurge plays a surge over three seeds.
 func measureSurge(t *testing.T, machines int, b *config.Balance) string {
 	shares := hdrhistogram.New(1, 1000, 3) // of the team, in hundredths of a machine, by machine and second
-	mean, gb, changes, samples := 0.0, 0.0, 0, 0
+	mean, gb, changes, moved, samples := 0.0, 0.0, 0, 0, 0
 	var surging, others []time.Duration
 	const seeds = 3
 	for seed := range seeds {
@@ -52,7 +58,8 @@
 		submit := func(team, image string, tasks int) {
 			number++
 			spec := protocol.Job{ID: fmt.Sprintf("run-%06d", number), Class: team, Team: team, Kind: protocol.Batch, Priority: protocol.Standard,
-				Tasks: tasks, CPUs: 1, MemGB: 2, Image: image, ImageGB: 1.5, Estimate: 20 * time.Second}
+				Tasks: tasks, CPUs: 1, MemGB: 2, Image: image, ImageGB: 1.5, Estimate: 20 * time.Second,
+				Checkpoint: 5 * time.Second, Save: 500 * time.Millisecond}
 			c.insist(func(node int, done func(int, string)) { c.Submit(node, spec, 20*time.Second, false, done) })
 		}
 		// Others' work takes about a third of the fleet, the team's usual a tenth; its images
@@ -96,6 +103,7 @@
 				others = append(others, wait)
 			}
 		}
+		moved += len(c.moves.times)
 		if broken := c.Broken(); len(broken) > 0 {
 			t.Error(broken)
 		}
@@ -111,6 +119,6 @@
 			above += int(bar.Count)
 		}
 	}
-	return fmt.Sprintf("%.1f%% | %.0f%% | %s | %s | %.0f | %d", 100*float64(above)/float64(shares.TotalCount()),
-		100*mean/float64(samples), waits(surging), waits(others), gb/seeds, changes/seeds)
+	return fmt.Sprintf("%.1f%% | %.0f%% | %s | %s | %.0f | %d | %d", 100*float64(above)/float64(shares.TotalCount()),
+		100*mean/float64(samples), waits(surging), waits(others), gb/seeds, changes/seeds, moved/seeds)
 }
--- a/internal/standin/chaos_test.go
+++ b/internal/standin/chaos_test.go
@@ -109,7 +109,10 @@
 	zones := [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}}[rng.IntN(3)]
 	o := Options{Seed: seed, Nodes: 3, Zones: zones, Machines: 3 + rng.IntN(4), Capacity: 3 + rng.IntN(8), Shards: shards}
 	if day.balance {
-		o.Balance = &config.Balance{CeilingShare: []float64{0.25, 0.5, 0.75}[seed%3], FetchQueueSeconds: 2 + float64(seed%5), TradeSeconds: float64(seed % 4)}
+		o.Balance = &config.Balance{CeilingShare: []float64{0.25, 0.5, 0.75}[seed%3], FetchQueueSeconds: 2 + float64(seed%5), TradeSeconds: float64(seed % 4), MoveMargin: 1.5}
+		if seed%4 < 3 {
+			o.Balance.Moves, o.Balance.TradeSeconds, o.Headroom = true, 30, float64(seed%3)*2
+		}
 	}
 	if os.Getenv("SCENARIO_LOG") != "" {
 		o.Log = os.Stderr
@@ -605,4 +608,7 @@
 	for _, b := range c.Broken() {
 		t.Error(b)
 	}
+	if day.balance {
+		t.Log(c.Moved())
+	}
 }
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -33,6 +33,7 @@
 	Fleet    bool     // limits, budgets and intervals of a fleet of a thousand machines
 	Shards   int      // per controller; 0: the leader serves all machines
 	Balance  *config.Balance
+	Headroom float64 // share of free room kept; 0 for the default
 	Limit    float64 // CPUs that each team may take; 0 for those of the settings above
 	// Cost is the processor time of each event on a node: what comes faster waits, and
 	// timers fire late, as on a small share of a processor.
@@ -104,7 +105,8 @@
 	slowLinks  time.Duration       // up to this much more every message takes
 	odd        int                 // odd requests sent, to name the next ones
 	hooks      []*hook
-	calm       time.Time                // since when there is no trouble; zero while there is
+	calm       time.Time // since when there is no trouble; zero while there is
+	moves      *movesCheck
 	fetched    float64                  // GB of images, by all workers
 	ceilings   map[string]*ceilingCheck // of teams that are known to surge
 }
@@ -186,7 +188,11 @@
 		servers: map[uint64]string{}, gaps: newGaps(), streams: map[link]*stream{}, operator: config.DefaultOperator()}
 	c.setShards(o.Shards)
 	c.operator.Balance = o.Balance
+	if o.Headroom > 0 {
+		c.operator.HeadroomShare = o.Headroom
+	}
 	c.ceilings = map[string]*ceilingCheck{}
+	c.moves = newMovesCheck()
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -210,12 +210,13 @@
 		o := Options{Seed: uint64(number(t, d, "seed", "1")), Nodes: int(number(t, d, "nodes", "3")),
 			Machines: int(number(t, d, "machines", "4")), Capacity: int(number(t, d, "capacity", "20")),
 			Zones: strings.Split(arg(d, "zones", "a"), ","), Fleet: arg(d, "fleet", "") != "",
-			Shards: int(number(t, d, "shards", "0")),
-			Limit:  number(t, d, "limit", "0"), Cost: duration(t, d, arg(d, "cost", "0s"))}
+			Shards: int(number(t, d, "shards", "0")), Headroom: number(t, d, "headroom", "0"),
+			Limit: number(t, d, "limit", "0"), Cost: duration(t, d, arg(d, "cost", "0s"))}
 		if arg(d, "ceiling", "") != "" {
-			// ceiling=SHARE [queue=SECONDS] [trade=SECONDS]: balance is on.
+			// ceiling=SHARE [queue=SECONDS] [trade=SECONDS] [moves [margin=N]]: balance is on.
 			o.Balance = &config.Balance{CeilingShare: number(t, d, "ceiling", "0.5"),
-				FetchQueueSeconds: number(t, d, "queue", "20"), TradeSeconds: number(t, d, "trade", "2")}
+				FetchQueueSeconds: number(t, d, "queue", "20"), TradeSeconds: number(t, d, "trade", "2"),
+				Moves: arg(d, "moves", "") != "", MoveMargin: number(t, d, "margin", "1.5")}
 		}
 		if os.Getenv("SCENARIO_LOG") != "" {
 			o.Log = os.Stderr
@@ -330,6 +331,9 @@
 		// while others have room; share=0 ends it.
 		r.c.Ceiling(first(t, d), number(t, d, "share", "0"))
 		return ""
+	case "moved":
+		// How many tasks of all jobs are on record as moved, and how often tasks were stopped.
+		return r.c.Moved()
 	case "shares":
 		return r.c.Shares(first(t, d))
 	case "shards":
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -171,6 +171,7 @@
 	if s.c.outsiders {
 		s.c.recorded(op)
 	}
+	s.c.moves.note(s.c, op)
 	s.history = append(s.history, change{s.revision, protocol.Event{Key: op.Put, Value: op.Value, Version: s.revision}})
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -400,6 +400,9 @@
 
 func (w *worker) stop(t *runningTask, grace time.Duration) {
 	j := w.c.jobs[t.job]
+	if t.state == protocol.Fetching || t.state == protocol.Running {
+		w.c.moves.stops++
+	}
 	switch {
 	case t.state == protocol.Exited:
 	case t.state == protocol.Running && j.spec.Checkpoint > 0 && grace >= j.spec.Save:
