Experiment tool: drawn loads in simulated time, with and without balance

Need: what balance does to a load must be seen before it is turned on. Change: cmd/standin experiment FILE draws arrivals, surges, image popularity, run times and wrong estimates from gonum's distributions, plays them over several seeds and prints loads, moves, wasted work, waits by team and placements on holders; JSON report, SVG plot.

--- /dev/null
+++ b/cmd/standin/experiment.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"image/color"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"brasskeel/internal/standin"
+)
+
+func experimentCommand() *cobra.Command {
+	var reportFile, plotFile string
+	c := &cobra.Command{Use: "experiment FILE", Short: "Play a drawn load in simulated time, with and without balance", Args: cobra.ExactArgs(1)}
+	c.Flags().StringVar(&reportFile, "json", "", "a file for the whole report")
+	c.Flags().StringVar(&plotFile, "svg", "", "a file for a plot of the machines' loads over time")
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		raw, err := os.ReadFile(args[0])
+		if err != nil {
+			return err
+		}
+		e, err := standin.ParseExperiment(raw)
+		if err != nil {
+			return err
+		}
+		outcomes, err := e.Run(cmd.Context(), func(setting string, seed, seeds int) {
+			fmt.Fprintf(cmd.ErrOrStderr(), "%s: %s, seed %d of %d\n", e.Name, setting, seed, seeds)
+		})
+		if err != nil {
+			return err
+		}
+		showOutcomes(cmd.OutOrStdout(), e, outcomes)
+		if err := writeReport(reportFile, e, outcomes); err != nil {
+			return err
+		}
+		if err := writePlot(plotFile, e, outcomes); err != nil {
+			return err
+		}
+		return brokenRules(outcomes)
+	}
+	return c
+}
+
+// brokenRules is an error if any rule was broken.
+func brokenRules(outcomes []standin.Outcome) error {
+	for _, o := range outcomes {
+		if len(o.Broken) > 0 {
+			return fmt.Errorf("%d rules broken with the setting %s, first: %s", len(o.Broken), o.Setting, o.Broken[0])
+		}
+	}
+	return nil
+}
+
+// showOutcomes prints a column for each setting. All figures are from simulated machines.
+func showOutcomes(out io.Writer, e *standin.Experiment, outcomes []standin.Outcome) {
+	fmt.Fprintf(out, "%s: %d simulated machines at the start, %d s, %d seeds\n", e.Name, e.Machines, e.Seconds, e.Seeds)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(name string, value func(*standin.Outcome) string) {
+		fmt.Fprint(w, name)
+		for i := range outcomes {
+			fmt.Fprint(w, "\t", value(&outcomes[i]))
+		}
+		fmt.Fprintln(w)
+	}
+	row("", func(o *standin.Outcome) string { return o.Setting })
+	row("jobs done", func(o *standin.Outcome) string { return fmt.Sprintf("%d of %d", o.Done, o.Jobs) })
+	row("hottest machine, mean over time", func(o *standin.Outcome) string { return percent(mean(o.Hottest)) })
+	row("99% of machines below, mean over time", func(o *standin.Outcome) string { return percent(mean(o.High)) })
+	row("all machines, mean", func(o *standin.Outcome) string { return percent(mean(o.Mean)) })
+	row("machine time with a team above its ceiling", func(o *standin.Outcome) string { return percent(o.Above) })
+	row("tasks moved", func(o *standin.Outcome) string { return fmt.Sprint(o.Moves) })
+	row("moves per job", func(o *standin.Outcome) string { return fmt.Sprintf("%.3f", o.MovesPerJob) })
+	row("wasted work, CPU seconds", func(o *standin.Outcome) string { return fmt.Sprintf("%.0f", o.Wasted) })
+	row("placed on holders", func(o *standin.Outcome) string { return percent(o.Held) })
+	row("fetched GB", func(o *standin.Outcome) string { return fmt.Sprintf("%.0f", o.FetchedGB) })
+	row("changes in the state service", func(o *standin.Outcome) string { return fmt.Sprint(o.Changes) })
+	for _, team := range slices.Sorted(maps.Keys(outcomes[0].Waits)) {
+		row("wait of "+team+", median and 99%", func(o *standin.Outcome) string {
+			return fmt.Sprintf("%.2f s, %.2f s", o.Waits[team].Median, o.Waits[team].Most)
+		})
+	}
+	w.Flush()
+}
+
+func percent(part float64) string { return fmt.Sprintf("%.1f%%", 100*part) }
+
+func mean(list []float64) float64 {
+	sum := 0.0
+	for _, v := range list {
+		sum += v
+	}
+	return sum / float64(max(1, len(list)))
+}
+
+// writeReport writes all outcomes as JSON; without a file's name it does nothing.
+func writeReport(file string, e *standin.Experiment, outcomes []standin.Outcome) error {
+	if file == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(struct {
+		Experiment *standin.Experiment `json:"experiment"`
+		Simulated  bool                `json:"simulatedMachines"`
+		Outcomes   []standin.Outcome   `json:"outcomes"`
+	}{e, true, outcomes}, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(raw, '\n'), 0o644)
+}
+
+// Colours of the settings, and the size of the plot.
+var lineColours = []color.Color{color.RGBA{R: 190, G: 60, B: 40, A: 255}, color.RGBA{R: 40, G: 90, B: 170, A: 255}}
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// writePlot draws the loads of the hottest machine and of all over time, as a self-contained
+// SVG; without a file's name it does nothing.
+func writePlot(file string, e *standin.Experiment, outcomes []standin.Outcome) error {
+	if file == "" {
+		return nil
+	}
+	p := plot.New()
+	p.Title.Text = e.Name + " (simulated machines)"
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "part of a machine taken"
+	p.Y.Min, p.Y.Max = 0, 1.3 // room for the legend
+	p.Legend.Top = true
+	for i, o := range outcomes {
+		for _, s := range []struct {
+			name   string
+			values []float64
+			dashes []vg.Length
+		}{{"99% below", o.High, nil}, {"mean", o.Mean, []vg.Length{vg.Points(4), vg.Points(3)}}} {
+			points := make(plotter.XYs, len(s.values))
+			for k, v := range s.values {
+				points[k].X, points[k].Y = float64(k), v
+			}
+			line, err := plotter.NewLine(points)
+			if err != nil {
+				return err
+			}
+			line.Color, line.Dashes = lineColours[i%len(lineColours)], s.dashes
+			p.Add(line)
+			p.Legend.Add(o.Setting+", "+s.name, line)
+		}
+	}
+	drawn, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return err
+	}
+	out, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if _, err := drawn.WriteTo(out); err != nil {
+		out.Close()
+		return err
+	}
+	return out.Close()
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,6 +28,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(upCommand(), loadCommand())
+	root.AddCommand(upCommand(), loadCommand(), experimentCommand())
 	return root
 }
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -47,6 +49,56 @@
 	return root.ExecuteContext(ctx)
 }
 
+// TestExperimentCommand prints a table, shows progress, writes a report and a plot, and refuses
+// a wrong file with one line.
+func TestExperimentCommand(t *testing.T) {
+	const settings = `{"name": "two machines", "machines": 2, "seconds": 8, "seeds": 2, "teams": [{"team": "blue", "jobsPerSecond": 0.5,
+		"tasks": 2, "cpus": 1, "runSeconds": 2, "images": 1, "imageGb": 1}], "balance": {}}`
+	dir := t.TempDir()
+	file := func(name, content string) string {
+		path := filepath.Join(dir, name)
+		if content != "" {
+			if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return path
+	}
+	var out, progress bytes.Buffer
+	report, plot := file("report.json", ""), file("plot.svg", "")
+	root := rootCommand()
+	root.SetArgs([]string{"experiment", file("e.json", settings), "--json", report, "--svg", plot})
+	root.SetOut(&out)
+	root.SetErr(&progress)
+	if err := root.ExecuteContext(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"two machines: 2 simulated machines", "jobs done", "wait of blue"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q isn't printed:\n%s", want, out.String())
+		}
+	}
+	if lines := strings.Count(progress.String(), "\n"); lines != 4 {
+		t.Errorf("%d lines of progress for four runs", lines)
+	}
+	raw, err := os.ReadFile(report)
+	if err != nil || !json.Valid(raw) || !bytes.Contains(raw, []byte(`"simulatedMachines": true`)) {
+		t.Errorf("report: %v, %d bytes", err, len(raw))
+	}
+	drawn, err := os.ReadFile(plot)
+	if err != nil || !bytes.Contains(drawn, []byte("<svg")) || bytes.Count(drawn, []byte("<path")) < 4 || bytes.Contains(drawn, []byte("href")) {
+		t.Errorf("plot: %v, %d bytes", err, len(drawn))
+	}
+	for content, names := range map[string]string{strings.Replace(settings, `"cpus": 1`, `"cpus": -1`, 1): "teams[0].cpus", "{": "experiment"} {
+		if err := execute(t.Context(), io.Discard, "experiment", file("bad.json", content)); err == nil || !strings.Contains(err.Error(), names) {
+			t.Errorf("%s: %v", names, err)
+		}
+	}
+	if err := execute(t.Context(), io.Discard, "experiment", file("none.json", "")); err == nil {
+		t.Error("a file that isn't there is taken")
+	}
+}
+
 // load expects all jobs of a small load to be done.
 func load(ctx context.Context, t *testing.T, binary string) {
 	var out bytes.Buffer
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -107,6 +107,8 @@
 	hooks      []*hook
 	calm       time.Time // since when there is no trouble; zero while there is
 	moves      *movesCheck
+	placements placements
+	wasted     float64                  // seconds of CPUs that were worked and not kept
 	fetched    float64                  // GB of images, by all workers
 	ceilings   map[string]*ceilingCheck // of teams that are known to surge
 }
--- /dev/null
+++ b/internal/standin/experiment.go
@@ -0,0 +1,375 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"brasskeel/internal/config"
+	"brasskeel/internal/protocol"
+)
+
+// Experiment is load that is drawn and played in simulated time, with and without balance.
+type Experiment struct {
+	Name     string           `json:"name"`
+	Machines int              `json:"machines"` // at the start; as many more can be rented
+	Seconds  int              `json:"seconds"`
+	Seeds    int              `json:"seeds"`
+	Teams    []ExperimentTeam `json:"teams"`
+	Surges   []Surge          `json:"surges"`
+	Balance  json.RawMessage  `json:"balance"` // as operators set it
+}
+
+// ExperimentTeam is the work of a team: jobs come by a Poisson process, run times are
+// lognormal, and images are taken by their popularity.
+type ExperimentTeam struct {
+	Team          string  `json:"team"`
+	JobsPerSecond float64 `json:"jobsPerSecond"`
+	Tasks         int     `json:"tasks"` // on average; drawn for each job
+	CPUs          float64 `json:"cpus"`
+	RunSeconds    float64 `json:"runSeconds"` // median
+	RunSpread     float64 `json:"runSpread"`  // standard deviation of the logarithm
+	Estimate      float64 `json:"estimateSpread"`
+	SaveSeconds   float64 `json:"saveSeconds"` // 0: its tasks don't save
+	Images        int     `json:"images"`
+	ImageGB       float64 `json:"imageGb"`
+	Popularity    float64 `json:"popularity"` // exponent by which images are less used than the first
+}
+
+// Surge is a time in which a team's jobs come several times as often.
+type Surge struct {
+	Team  string  `json:"team"`
+	From  float64 `json:"from"`
+	Until float64 `json:"until"`
+	Times float64 `json:"times"`
+}
+
+// ParseExperiment reads an experiment's file. An error names the field that is wrong.
+func ParseExperiment(raw []byte) (*Experiment, error) {
+	e := &Experiment{}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(e); err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return nil, fmt.Errorf("experiment: more than one value")
+	}
+	if err := e.check(); err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	return e, nil
+}
+
+func (e *Experiment) check() error {
+	if e.Name == "" {
+		return fmt.Errorf("name is missing")
+	}
+	for _, f := range []struct {
+		name        string
+		value, most int
+	}{{"machines", e.Machines, 10_000}, {"seconds", e.Seconds, 86_400}, {"seeds", e.Seeds, 1000}} {
+		if f.value < 1 || f.value > f.most {
+			return fmt.Errorf("%s is %d, not 1 to %d", f.name, f.value, f.most)
+		}
+	}
+	if len(e.Teams) == 0 {
+		return fmt.Errorf("teams is empty")
+	}
+	known := map[string]bool{}
+	for i := range e.Teams {
+		if err := e.Teams[i].check(); err != nil {
+			return fmt.Errorf("teams[%d].%w", i, err)
+		}
+		known[e.Teams[i].Team] = true
+	}
+	for i, s := range e.Surges {
+		switch {
+		case !known[s.Team]:
+			return fmt.Errorf("surges[%d].team %q has no work", i, s.Team)
+		case s.From < 0 || !(s.Until > s.From) || s.Until > float64(e.Seconds):
+			return fmt.Errorf("surges[%d].until must be after from, and within seconds", i)
+		case !(s.Times > 0) || s.Times > 1000:
+			return fmt.Errorf("surges[%d].times is %g, not above 0 to 1000", i, s.Times)
+		}
+	}
+	_, err := e.balance()
+	return err
+}
+
+func (t *ExperimentTeam) check() error {
+	if !slices.Contains([]string{"red", "blue", "guest"}, t.Team) {
+		return fmt.Errorf("team is %q, not red, blue or guest", t.Team)
+	}
+	for _, f := range []struct {
+		name        string
+		value       float64
+		least, most float64
+	}{
+		{"jobsPerSecond", t.JobsPerSecond, 1e-6, 1000}, {"tasks", float64(t.Tasks), 1, protocol.MaxTasks}, {"cpus", t.CPUs, 1e-3, 16},
+		{"runSeconds", t.RunSeconds, 0.1, 86_400}, {"runSpread", t.RunSpread, 0, 3}, {"estimateSpread", t.Estimate, 0, 3},
+		{"saveSeconds", t.SaveSeconds, 0, 3600}, {"images", float64(t.Images), 1, 100_000}, {"imageGb", t.ImageGB, 0, 10}, {"popularity", t.Popularity, 0, 10},
+	} {
+		if !(f.value >= f.least) || f.value > f.most {
+			return fmt.Errorf("%s is %g, not %g to %g", f.name, f.value, f.least, f.most)
+		}
+	}
+	return nil
+}
+
+// balance is the setting that the experiment tries.
+func (e *Experiment) balance() (*config.Balance, error) {
+	if len(e.Balance) == 0 {
+		return nil, fmt.Errorf("balance is missing")
+	}
+	o := config.DefaultOperator()
+	if err := config.ParseOperator(fmt.Appendf(nil, `{"balance": %s}`, e.Balance), &o); err != nil {
+		return nil, fmt.Errorf("balance: %w", err)
+	}
+	if o.Balance == nil {
+		return nil, fmt.Errorf("balance is missing")
+	}
+	return o.Balance, nil
+}
+
+// Outcome is what came of an experiment with a setting, over all seeds.
+type Outcome struct {
+	Setting string `json:"setting"`
+	// Hottest and High are the load of the hottest machine, and of that below which 99% of
+	// them are, at each second, as a part of the machine and as means over the seeds.
+	Hottest []float64 `json:"hottest"`
+	High    []float64 `json:"high"`
+	Mean    []float64 `json:"mean"`
+	// Above is the part of all machines' time in which a team that surges takes more of a
+	// machine than the ceiling.
+	Above float64 `json:"teamAboveCeiling"`
+
+	Jobs        int                  `json:"jobs"`
+	Done        int                  `json:"done"`
+	Moves       int                  `json:"moves"`
+	MovesPerJob float64              `json:"movesPerJob"`
+	Wasted      float64              `json:"wastedCpuSeconds"` // work that was done and not kept
+	Held        float64              `json:"placedOnHolders"`  // part of the starts
+	FetchedGB   float64              `json:"fetchedGb"`
+	Changes     int                  `json:"changes"` // in the state service
+	Waits       map[string]WaitTimes `json:"waits"`   // by team, until a job's first task ran
+	Broken      []string             `json:"broken,omitempty"`
+}
+
+// WaitTimes are the seconds within which half and 99% of a team's jobs began.
+type WaitTimes struct {
+	Median float64 `json:"median"`
+	Most   float64 `json:"p99"`
+}
+
+// placements counts starts, and those on machines that held the image.
+type placements struct{ all, onHolders int }
+
+func (p placements) held() float64 { return float64(p.onHolders) / float64(max(1, p.all)) }
+
+// noteWasted counts the work of a task that leaves its machine before it is done, but for what
+// it has saved.
+func (c *Cluster) noteWasted(t *runningTask) {
+	j := c.jobs[t.job]
+	switch {
+	case j.completed[t.index] || j.spec.Kind != protocol.Batch:
+	case t.saved:
+		c.wasted += j.spec.Save.Seconds() * j.spec.CPUs
+	default:
+		c.wasted += c.now.Sub(t.began).Seconds() * j.spec.CPUs
+	}
+}
+
+// loads are the parts of the machines that are up that tasks take: of the hottest one, of that
+// below which 99% of them are, and of all on average.
+func (c *Cluster) loads() (hottest, high, mean float64) {
+	var list []float64
+	for _, h := range c.cloud.hosts {
+		w := h.worker
+		if w == nil || w.dead {
+			continue
+		}
+		var taken taskShape
+		for _, t := range w.tasks {
+			if j := c.jobs[t.job]; j != nil && t.state != protocol.Exited {
+				taken.cpus += j.spec.CPUs
+				taken.mem += j.spec.MemGB
+			}
+		}
+		part := share(w, taken, taskShape{})
+		list = append(list, part)
+		mean += part
+	}
+	if len(list) == 0 {
+		return 0, 0, 0
+	}
+	slices.Sort(list)
+	return list[len(list)-1], list[(len(list)-1)*99/100], mean / float64(len(list))
+}
+
+// above is the part of the machines that are up of which a team that surges some time takes
+// more than the ceiling.
+func (c *Cluster) above(surges []Surge, ceiling float64) float64 {
+	up, above := 0, 0
+	for _, h := range c.cloud.hosts {
+		w := h.worker
+		if w == nil || w.dead {
+			continue
+		}
+		up++
+		if slices.ContainsFunc(surges, func(s Surge) bool {
+			taken, tasks := w.takenBy(s.Team)
+			return tasks > 1 && share(w, taken, taskShape{}) > ceiling+protocol.Epsilon
+		}) {
+			above++
+		}
+	}
+	return float64(above) / float64(max(1, up))
+}
+
+// Run plays the experiment without and with its setting. progress is told after each seed.
+func (e *Experiment) Run(ctx context.Context, progress func(setting string, seed, seeds int)) ([]Outcome, error) {
+	b, err := e.balance()
+	if err != nil {
+		return nil, err
+	}
+	var outcomes []Outcome
+	for _, s := range []struct {
+		name    string
+		balance *config.Balance
+	}{{"off", nil}, {"on", b}} {
+		o := Outcome{Setting: s.name, Waits: map[string]WaitTimes{}, Hottest: make([]float64, e.Seconds), High: make([]float64, e.Seconds), Mean: make([]float64, e.Seconds)}
+		waits := map[string]*hdrhistogram.Histogram{}
+		for seed := range e.Seeds {
+			if err := ctx.Err(); err != nil {
+				return nil, err
+			}
+			e.play(uint64(seed+1), s.balance, b.CeilingShare, &o, waits)
+			progress(s.name, seed+1, e.Seeds)
+		}
+		e.average(&o, waits)
+		outcomes = append(outcomes, o)
+	}
+	return outcomes, nil
+}
+
+// afterwards is how long jobs are followed once no more come.
+const afterwards = 2 * time.Minute
+
+// play plays one seed and adds what came of it.
+func (e *Experiment) play(seed uint64, b *config.Balance, ceiling float64, o *Outcome, waits map[string]*hdrhistogram.Histogram) {
+	c := New(Options{Seed: seed, Nodes: 3, Machines: e.Machines, Capacity: e.Machines, Fleet: true, Balance: b})
+	c.Advance(6 * time.Second)
+	e.submit(c, rand.New(rand.NewPCG(seed, 17)))
+	c.state.changed, c.fetched = 0, 0
+	above := 0.0
+	for second := range e.Seconds {
+		c.Advance(time.Second)
+		above += c.above(e.Surges, ceiling)
+		hottest, high, mean := c.loads()
+		o.Hottest[second] += hottest
+		o.High[second] += high
+		o.Mean[second] += mean
+	}
+	c.Advance(afterwards)
+	for _, j := range c.jobs {
+		o.Jobs++
+		if len(j.completed) == j.spec.Tasks {
+			o.Done++
+		}
+		if j.began.IsZero() {
+			continue
+		}
+		h := waits[j.spec.Team]
+		if h == nil {
+			h = newGaps()
+			waits[j.spec.Team] = h
+		}
+		_ = h.RecordValue(min(j.began.Sub(j.submitted).Milliseconds(), 600_000)) // within its range
+	}
+	o.Above += above / float64(e.Seconds)
+	o.Moves += len(c.moves.times)
+	o.Wasted += c.wasted
+	o.Held += c.placements.held()
+	o.FetchedGB += c.fetched
+	o.Changes += c.state.changed
+	o.Broken = append(o.Broken, c.Broken()...)
+}
+
+// submit plans the jobs of all teams, as drawn.
+func (e *Experiment) submit(c *Cluster, rng *rand.Rand) {
+	number := 0
+	for i := range e.Teams {
+		t := &e.Teams[i]
+		gaps := distuv.Exponential{Rate: t.JobsPerSecond, Src: rng}
+		tasks := distuv.Poisson{Lambda: float64(t.Tasks - 1), Src: rng}
+		runs := distuv.LogNormal{Sigma: t.RunSpread, Src: rng}
+		wrong := distuv.LogNormal{Sigma: t.Estimate, Src: rng}
+		images := distuv.NewCategorical(popularity(t.Images, t.Popularity), rng)
+		for at := gaps.Rand() / e.times(t.Team, 0); at < float64(e.Seconds); at += gaps.Rand() / e.times(t.Team, at) {
+			number++
+			run := time.Duration(t.RunSeconds * runs.Rand() * float64(time.Second))
+			spec := protocol.Job{ID: fmt.Sprintf("run-%06d", number), Class: t.Team, Team: t.Team, Kind: protocol.Batch, Priority: protocol.Standard,
+				Tasks: 1, CPUs: t.CPUs, MemGB: 1, Image: fmt.Sprintf("img-%s-%d", t.Team, int(images.Rand())), ImageGB: t.ImageGB,
+				Estimate: time.Duration(float64(run) * wrong.Rand())}
+			if t.Tasks > 1 {
+				spec.Tasks += int(tasks.Rand())
+			}
+			if t.SaveSeconds > 0 {
+				spec.Checkpoint, spec.Save = 5*time.Second, time.Duration(t.SaveSeconds*float64(time.Second))
+			}
+			c.after(time.Duration(at*float64(time.Second)), func() {
+				c.insist(func(node int, done func(int, string)) { c.Submit(node, spec, run, false, done) })
+			})
+		}
+	}
+}
+
+// times is how many times as often a team's jobs come at a time.
+func (e *Experiment) times(team string, at float64) float64 {
+	times := 1.0
+	for _, s := range e.Surges {
+		if s.Team == team && at >= s.From && at < s.Until {
+			times *= s.Times
+		}
+	}
+	return times
+}
+
+// popularity is how often images are used, the first one most.
+func popularity(images int, exponent float64) []float64 {
+	weights := make([]float64, images)
+	for i := range weights {
+		weights[i] = math.Pow(float64(i+1), -exponent)
+	}
+	return weights
+}
+
+// average turns sums over the seeds into means.
+func (e *Experiment) average(o *Outcome, waits map[string]*hdrhistogram.Histogram) {
+	seeds := float64(e.Seeds)
+	for i := range o.Hottest {
+		o.Hottest[i] /= seeds
+		o.High[i] /= seeds
+		o.Mean[i] /= seeds
+	}
+	o.Above /= seeds
+	o.Wasted /= seeds
+	o.Held /= seeds
+	o.FetchedGB /= seeds
+	o.Changes /= e.Seeds
+	o.MovesPerJob = float64(o.Moves) / float64(max(1, o.Jobs))
+	for team, h := range waits {
+		at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		o.Waits[team] = WaitTimes{Median: at(50), Most: at(99)}
+	}
+}
--- /dev/null
+++ b/internal/standin/experiment_test.go
@@ -0,0 +1,82 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+const smallExperiment = `{"name": "small", "machines": 6, "seconds": 20, "seeds": 1,
+	"teams": [{"team": "guest", "jobsPerSecond": 0.5, "tasks": 4, "cpus": 1, "runSeconds": 8, "runSpread": 0.3, "saveSeconds": 0.5, "images": 2, "imageGb": 1, "popularity": 1}],
+	"surges": [{"team": "guest", "from": 5, "until": 15, "times": 3}],
+	"balance": {"ceilingShare": 0.5, "tradeSeconds": 10, "moves": true}}`
+
+// A wrong file ends with one line that names the field.
+func TestExperimentFile(t *testing.T) {
+	if _, err := ParseExperiment([]byte(smallExperiment)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, names string }{
+		{`"machines": 6`, `"machines": 0`, "machines"}, {`"seconds": 20`, `"seconds": 1e9`, "seconds"}, {`"seeds": 1`, `"seeds": -1`, "seeds"},
+		{`"name": "small"`, `"name": ""`, "name"}, {`"name"`, `"nome"`, "nome"}, {`"team": "guest", "jobs`, `"team": "green", "jobs`, "teams[0].team"},
+		{`"jobsPerSecond": 0.5`, `"jobsPerSecond": 0`, "teams[0].jobsPerSecond"}, {`"tasks": 4`, `"tasks": "4"`, "tasks"}, {`"images": 2`, `"images": 0`, "teams[0].images"},
+		{`"runSpread": 0.3`, `"runSpread": -1`, "teams[0].runSpread"}, {`{"team": "guest", "from"`, `{"team": "red", "from"`, "surges[0].team"},
+		{`"until": 15`, `"until": 4`, "surges[0].until"}, {`"times": 3`, `"times": 0`, "surges[0].times"}, {`"ceilingShare": 0.5`, `"ceilingShare": 2`, "ceilingShare"},
+		{`"ceilingShare": 0.5`, `"ceiling": 1`, "ceiling"}, {`"moves": true}}`, `"moves": true}} {}`, "more than one"},
+	} {
+		raw := strings.Replace(smallExperiment, c.old, c.new, 1)
+		if raw == smallExperiment {
+			t.Fatalf("%q isn't there", c.old)
+		}
+		if _, err := ParseExperiment([]byte(raw)); err == nil || !strings.Contains(err.Error(), c.names) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	raw, err := os.ReadFile("../../docs/experiments/surge.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ParseExperiment(raw); err != nil {
+		t.Error(err)
+	}
+}
+
+// An experiment gives the same outcome every time, breaks no rule, and counts what it should.
+func TestExperiment(t *testing.T) {
+	e, err := ParseExperiment([]byte(smallExperiment))
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := 0
+	run := func() []Outcome {
+		outcomes, err := e.Run(context.Background(), func(string, int, int) { told++ })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return outcomes
+	}
+	outcomes := run()
+	if !reflect.DeepEqual(outcomes, run()) || told != 4 {
+		t.Errorf("another outcome, or progress told %d times", told)
+	}
+	for _, o := range outcomes {
+		if len(o.Broken) > 0 || o.Jobs == 0 || o.Done != o.Jobs || len(o.Hottest) != 20 || o.Mean[15] <= 0 || o.Hottest[15] < o.Mean[15] ||
+			o.Held <= 0 || o.FetchedGB <= 0 || o.Waits["guest"].Most <= 0 {
+			t.Errorf("%+v", o)
+		}
+	}
+	if off, on := outcomes[0], outcomes[1]; off.Moves != 0 || on.Above >= off.Above {
+		t.Errorf("moves %d off; above the ceiling %.3f off and %.3f on", off.Moves, off.Above, on.Above)
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := e.Run(ended, func(string, int, int) {}); err == nil {
+		t.Error("goes on although it is to end")
+	}
+	if _, err := json.Marshal(outcomes); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -356,7 +356,9 @@
 	fetch := time.Duration(j.spec.ImageGB / w.spec.FetchRate * float64(time.Second))
 	if slices.Contains(w.images, j.spec.Image) {
 		fetch = 0
+		c.placements.onHolders++
 	}
+	c.placements.all++
 	t.timer = c.after(fetch, func() { w.run(func() { w.startTask(t, j) }) })
 	w.change()
 }
@@ -436,6 +438,7 @@
 		t.timer.run = nil
 	}
 	if t.state == protocol.Running || t.state == protocol.Saving {
+		w.c.noteWasted(t)
 		w.c.taskLeaves(w, t)
 	}
 }
