--- a/internal/coordination/shard_leader.go
+++ b/internal/coordination/shard_leader.go
@@ -85,7 +85,9 @@
 		return time.Time{}, false
 	}
 	k := sl.owner(m.shard)
-	if !ok || k == nil || sl.l.n.now.Sub(k.heard) > ownerQuiet {
+	// An owner that has yet to say that it serves the shard has asked nobody: what is known of
+	// its machines is the word of the one before, which may have lost them.
+	if !ok || k == nil || k.told[m.shard] == 0 || sl.l.n.now.Sub(k.heard) > ownerQuiet {
 		delete(sl.heard, m.shard)
 		return time.Time{}, false
 	}
