--- a/internal/coordination/balance/cool.go
+++ b/internal/coordination/balance/cool.go
@@ -158,7 +158,10 @@
 // target finds where a move pays most.
 func (c *cooling) target(w *Work, left placement.Resources) (best Move, found bool) {
 	try := func(o *Site) {
-		if o.Machine == c.source.Machine || o.Load == nil || o.Emptying || !w.MayUse(o.Zone) || !c.snapshot.fits(o.Machine, w.Job) || !c.open(o.Machine) {
+		if o.Machine == c.source.Machine || o.Load == nil || o.Emptying || !c.open(o.Machine) {
+			return // one that isn't open may be of an unknown type
+		}
+		if !w.MayUse(o.Zone) || !c.snapshot.fits(o.Machine, w.Job) {
 			return
 		}
 		if m, pays := c.weigh(w, o, left); pays && (!found || m.Saving-m.Cost > best.Saving-best.Cost) {
--- a/internal/coordination/balance/cool_test.go
+++ b/internal/coordination/balance/cool_test.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// A machine of an unknown type that holds the image isn't open, and isn't looked at further.
+func TestUnknownTypeIsNoTarget(t *testing.T) {
+	b := newBoard(2)
+	for range 3 {
+		b.runs(0, 1, nil)
+	}
+	b.sites[1].Images.Add(1, 1, 20)
+	b.sites[1].Spec = nil
+	sources := []Source{{Site: b.sites[0], Work: b.work}}
+	if moves := NewPlanner(b.sites, func(m *placement.Machine) bool { return m.Spec != nil }).Cool(b.terms, sources); len(moves) != 0 {
+		t.Errorf("%d moves", len(moves))
+	}
+}
+
 // Two hot teams that would like each other's machines settle: moves that were made leave
 // nothing to be moved back.
 func TestPlansSettle(t *testing.T) {
