--- /dev/null
+++ b/review/harness/sites.go
@@ -0,0 +1,26 @@
+package harness
+
+import "time"
+
+// TeoriproveNord returns settings like those of Teoriprøve Nord in its first, small form.
+func TeoriproveNord() Settings {
+	zones := []string{"oslo-vest", "trondheim-sor"}
+	return Settings{
+		Zones: zones, Report: 1500 * time.Millisecond, Lease: 14 * time.Second, Cancel: 39 * time.Second,
+		Types:    []MachineType{{Label: "fjord-4", CPUs: 4, MemGB: 16, LocalGB: 40, FetchGBs: 0.25, Rate: 0.25, SpotPrice: 0.09, ReadyS: 15, Zones: zones[:1]}},
+		Teams:    []Team{{"exam-ops", 24, 64}, {"question-bank", 24, 40}, {"scoring-team", 40, 150}},
+		StateRPS: 200, StateWrites: 80, ListLag: 5 * time.Second,
+	}
+}
+
+// BankRefresh returns an array of the class bank-refresh.
+func BankRefresh(id string, tasks int, runs time.Duration) Job {
+	return Job{ID: id, Class: "bank-refresh", Team: "scoring-team", Rig: "batch", Precedence: "standard", Tasks: tasks, CPUs: 2, MemGB: 6,
+		Image: "img-01", PullGB: 0.5, Runs: runs}
+}
+
+// ExamDesk returns a service of the class exam-desk.
+func ExamDesk(id string, replicas int) Job {
+	return Job{ID: id, Class: "exam-desk", Team: "exam-ops", Rig: "daemon", Precedence: "critical", Tasks: replicas, CPUs: 2, MemGB: 6,
+		Image: "img-01", PullGB: 0.5}
+}
