--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -44,6 +45,7 @@
 	Runs                             time.Duration // how long a task runs; 0: until it is stopped
 	MooringS, StowS                  float64
 	Spot                             bool
+	Zone                             string // the only allowed zone, if not empty
 }
 
 // Cluster is a deployment: controllers as processes, and stand-ins of all else.
@@ -56,6 +58,8 @@
 
 	// PeerProxies are the proxies between the controllers.
 	PeerProxies []*Proxy
+	// StateProxies are the proxies from the controllers to the state service, in the order of the controllers.
+	StateProxies []*Proxy
 
 	dir  string
 	mu   sync.Mutex
@@ -117,10 +121,16 @@
 
 // prepare starts a controller's addresses of the state service and the cloud, and writes its settings.
 func (c *Cluster) prepare(k *Controller) error {
-	var err error
-	if k.state, err = c.State.Listen(); err != nil {
+	state, err := c.State.Listen()
+	if err != nil {
 		return err
 	}
+	proxy, err := NewProxy(state)
+	if err != nil {
+		return err
+	}
+	c.StateProxies = append(c.StateProxies, proxy)
+	k.state = proxy.Addr()
 	if k.cloud, err = c.Cloud.listen(k.Name); err != nil {
 		return err
 	}
@@ -325,6 +335,9 @@
 	return resp.StatusCode, string(reply)
 }
 
+// ErrRejected means that a submission was answered with 400 or 422.
+var ErrRejected = errors.New("rejected")
+
 // Submit submits a job, with retries at the given controllers in turn, until it is accepted.
 func (c *Cluster) Submit(j Job, at ...*Controller) error {
 	c.mu.Lock()
@@ -333,13 +346,16 @@
 	body := object{"nameId": j.ID, "berth": j.Class, "crew": j.Team, "rig": j.Rig, "precedence": j.Precedence, "oars": j.Tasks, "cpus": j.CPUs,
 		"gpus": 0.0, "memGb": j.MemGB, "hull": j.Image, "pullGb": j.PullGB, "hullForms": nil, "harbour": nil, "oneZone": false, "apart": false,
 		"driftwood": j.Spot, "passageS": j.Runs.Seconds(), "mooringS": j.MooringS, "stowS": j.StowS, "tideS": nil}
+	if j.Zone != "" {
+		body["harbour"] = j.Zone
+	}
 	for i := range 30 {
 		status, _ := c.Request(at[i%len(at)], http.MethodPost, "/v2/runs", body, 5*time.Second)
 		switch status {
 		case 200, 201:
 			return nil
 		case 400, 422:
-			return fmt.Errorf("%s was rejected", j.ID)
+			return fmt.Errorf("%s: %w", j.ID, ErrRejected)
 		}
 		time.Sleep(time.Second)
 	}
@@ -355,3 +371,10 @@
 	}
 	return false
 }
+
+// AddJob makes a job's description known to the workers.
+func (c *Cluster) AddJob(j *Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[j.ID] = j
+}
--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"io"
 	"net"
 	"sync"
 )
@@ -12,6 +11,7 @@
 	addr, to string
 	listener net.Listener // nil while connections are refused
 	open     map[net.Conn]bool
+	resume   chan struct{} // closed at the end of a hold; nil while nothing is held
 }
 
 // NewProxy returns a proxy to an address on a free port of the loopback interface.
@@ -57,6 +57,36 @@
 	clear(p.open)
 }
 
+// Hold makes the proxy hold back all bytes and new connections. They are delivered in order once
+// Release is called, also those of connections that their senders have closed meanwhile.
+func (p *Proxy) Hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resume == nil {
+		p.resume = make(chan struct{})
+	}
+}
+
+// Release ends a hold.
+func (p *Proxy) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resume != nil {
+		close(p.resume)
+		p.resume = nil
+	}
+}
+
+// wait returns once nothing is held back.
+func (p *Proxy) wait() {
+	p.mu.Lock()
+	resume := p.resume
+	p.mu.Unlock()
+	if resume != nil {
+		<-resume
+	}
+}
+
 func (p *Proxy) accept(listener net.Listener) {
 	for {
 		client, err := listener.Accept()
@@ -83,7 +113,19 @@
 
 // copy forwards bytes until one side ends, and ends the other.
 func (p *Proxy) copy(to, from net.Conn) {
-	_, _ = io.Copy(to, from) // the end of a connection is no error of the test
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		p.wait()
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
 	to.Close()
 	from.Close()
 	p.mu.Lock()
--- a/review/harness/run.go
+++ b/review/harness/run.go
@@ -15,7 +15,7 @@
 var ErrBroken = errors.New("the rule was broken")
 
 // limit is how long a case may run.
-const limit = 115 * time.Second
+const limit = 118 * time.Second
 
 // Run runs a case in a cluster of its own and ends the process: with 1 if the rule was broken, 0 if it
 // held, and 2 if the case couldn't run. The first argument of the program is the folder of the case.
