--- a/review/harness/cloud.go
+++ b/review/harness/cloud.go
@@ -47,6 +47,7 @@
 	// how many machines can exist.
 	Boot     func(number int, t MachineType) time.Duration
 	Capacity int
+	NoSpot   bool // no spot machines are available
 	// Released is called for each machine that a controller deletes, before it is gone.
 	Released func(controller string, m *Machine)
 }
@@ -122,7 +123,7 @@
 			}
 		}
 		if len(names) == 0 {
-			c.rec.Logf("cloud: %s asks for %d %s: no capacity", controller, body.Count, body.Type)
+			c.rec.Logf("cloud: %s asks for %d %s, spot %v: no capacity", controller, body.Count, body.Type, body.Spot)
 			answer(w, 503, object{"error": "no capacity"})
 			return
 		}
@@ -140,7 +141,7 @@
 			exist++
 		}
 	}
-	if exist >= c.Capacity {
+	if exist >= c.Capacity || spot && c.NoSpot {
 		return nil
 	}
 	for _, t := range c.types {
@@ -240,10 +241,3 @@
 	}
 	return list
 }
-
-// SetCapacity sets how many machines can exist.
-func (c *Cloud) SetCapacity(machines int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.Capacity = machines
-}
