Review: the cases in the order of their gravity

The stand-in of a worker counts a higher token as a change once in half of a lease at most, as the protocol says.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,98 +1,81 @@
-// Command 6 is the test of case 6: after the settings of all controllers have lost a team, one after
-// the other, a waiting job of that team makes every leader end, and no job of any team is served.
+// Command 6 is the test of case 6: a leader that has lost only its workers deletes their machines, with
+// the tasks on them, although the other controllers reach them.
 package main
 
 import (
 	"errors"
 	"fmt"
+	"strings"
+	"sync"
 	"time"
 
 	"brasskeel/review/harness"
 )
 
-const (
-	every = 20 * time.Second // between two restarts; the pages have 20 to 30 s
-	watch = 35 * time.Second // after the last restart
-)
+const cut = 35 * time.Second // the pages have up to 37 s for this deployment, 43 s for the other
+
+// deletions notes the machines that were deleted with tasks on them.
+type deletions struct {
+	mu   sync.Mutex
+	list []string
+}
 
 func main() { harness.Run(harness.TeoriproveNord(), play) }
 
 func play(c *harness.Cluster, trouble bool) error {
-	c.Cloud.NoSpot = true
-	teams := c.Settings.Teams
-	guest := harness.Team{Name: "road-research", CPUs: 0, CPUsLimit: 40}
-	started := make(chan string, 100)
-	c.TaskStarted = func(_ *harness.Worker, t *harness.Task, _ string) { started <- t.Name }
-	for _, k := range c.Controllers {
-		k.Kill()
-		if err := c.WriteSettings(k, append(append([]harness.Team{}, teams...), guest)); err != nil {
-			return err
-		}
-		if err := k.Start(); err != nil {
-			return err
-		}
-	}
+	d := &deletions{}
+	c.Cloud.Capacity = 2
+	c.Cloud.AddRunning("fjord-4", "oslo-vest")
+	c.Cloud.AddRunning("fjord-4", "oslo-vest")
+	c.Cloud.Released = func(controller string, m *harness.Machine) { d.deleted(controller, m, c.IsCut(controller)) }
 	if !harness.Await(20*time.Second, func() bool { return c.Leader() != nil }) {
 		return errors.New("no leader")
 	}
-	// Spot machines can't be had at present, and a team without a guarantee gets no others at first, so
-	// the guests' job waits.
-	job := harness.BankRefresh("run-000001", 2, 20*time.Second)
-	job.Team, job.Class, job.Precedence, job.Spot = guest.Name, "hazard-idle", "low", true
-	if err := c.Submit(job, c.Controllers...); err != nil {
+	if err := c.Submit(harness.BankRefresh("run-000001", 2, 55*time.Second), c.Leader()); err != nil {
 		return err
 	}
-	if trouble {
-		if err := roll(c, teams); err != nil {
-			return err
-		}
-	}
-	if err := c.Submit(harness.BankRefresh("run-000002", 1, 20*time.Second), c.Controllers...); err != nil {
+	if err := c.Submit(harness.ExamDesk("run-000002", 2), c.Leader()); err != nil {
 		return err
 	}
-	served := false
-	for end := time.After(watch); ; {
-		select {
-		case name := <-started:
-			served = served || name == "run-000002/0"
-			continue
-		case <-end:
-		}
-		break
+	time.Sleep(25 * time.Second)
+	if n := onMachines(c); n != 4 {
+		return fmt.Errorf("%d tasks run, not 4", n)
 	}
-	return judge(c, served)
-}
-
-// roll restarts all controllers one after the other, with settings that don't name the guests' team.
-func roll(c *harness.Cluster, teams []harness.Team) error {
-	for i, k := range c.Controllers {
-		if i > 0 {
-			time.Sleep(every)
-		}
-		c.Rec.Logf("%s: is restarted with settings without the guests' team", k.Name)
-		k.Kill()
-		if err := c.WriteSettings(k, teams); err != nil {
-			return err
-		}
-		time.Sleep(time.Second)
-		if err := k.Start(); err != nil {
-			return err
-		}
+	leader := c.Leader()
+	if leader == nil {
+		return errors.New("no leader")
+	}
+	if trouble {
+		c.Cut(leader.Name)
+	}
+	time.Sleep(cut)
+	c.Rec.Logf("tasks that run: %d", onMachines(c))
+	c.Cut("")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.list) > 0 {
+		return fmt.Errorf("%w: %s", harness.ErrBroken, strings.Join(d.list, "; "))
 	}
 	return nil
 }
 
-func judge(c *harness.Cluster, served bool) error {
-	ends := 0
-	for _, k := range c.Controllers {
-		ends += k.Ends()
+// onMachines returns how many tasks are on machines.
+func onMachines(c *harness.Cluster) int {
+	n := 0
+	for _, w := range c.Cloud.Workers() {
+		n += len(w.OnMachine())
 	}
-	c.Rec.Logf("controllers ended by themselves %d times; the job of another team started: %v", ends, served)
-	if ends > 0 {
-		return fmt.Errorf("%w: controllers ended by themselves %d times; another team's job started: %v", harness.ErrBroken, ends, served)
+	return n
+}
+
+// deleted notes a machine that a controller deletes with tasks while it is cut from the workers.
+func (d *deletions) deleted(controller string, m *harness.Machine, isCut bool) {
+	if m.Worker == nil || !isCut {
+		return
 	}
-	if !served {
-		return errors.New("the other team's job didn't start")
+	if tasks := m.Worker.OnMachine(); len(tasks) > 0 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.list = append(d.list, fmt.Sprintf("%s, cut from the workers, deletes %s with %v", controller, m.Name, tasks))
 	}
-	return nil
 }
--- a/review/harness/cloud.go
+++ b/review/harness/cloud.go
@@ -61,7 +61,10 @@
 		time.Sleep(20 * time.Millisecond)
 		switch {
 		case r.URL.Path == "/flavors":
-			answer(w, 200, object{"hullForms": c.types})
+			c.mu.Lock()
+			types := c.types
+			c.mu.Unlock()
+			answer(w, 200, object{"hullForms": types})
 		case r.URL.Path == "/hosts" && r.Method == http.MethodGet:
 			c.list(w, r)
 		case r.URL.Path == "/hosts":
--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -373,13 +373,6 @@
 	return false
 }
 
-// AddJob makes a job's description known to the workers.
-func (c *Cluster) AddJob(j *Job) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.jobs[j.ID] = j
-}
-
 // Cut cuts a controller from the workers; "" ends the cut.
 func (c *Cluster) Cut(controller string) {
 	c.Rec.Logf("cut from the workers: %q", controller)
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -35,6 +35,7 @@
 	sent     time.Time // when the latest report was sent
 	next     time.Time // when the next report is due
 	leased   time.Time // when the last answered report was sent, or the session began
+	raised   time.Time // when a higher token last counted as a change
 	client   *http.Client
 }
 
@@ -259,9 +260,14 @@
 	return resp.StatusCode, raw
 }
 
+// see notes a token. A higher one counts as a change once in half of a lease at most.
 func (w *Worker) see(helm uint64) {
-	if helm > w.helm {
-		w.helm, w.changed = helm, true
+	if helm <= w.helm {
+		return
+	}
+	w.helm = helm
+	if now := time.Now(); now.Sub(w.raised) >= w.cluster.Settings.Lease/2 {
+		w.raised, w.changed = now, true
 	}
 }
 
