Review: case 6, a guests' job is left waiting beside free capacity

Cause: a machine that is being consolidated is passed over for guests' jobs with checkpoints, and stays so while other tasks keep it, also after the spare capacity for which it was marked is gone. Change: the test of case 6, in which a spot machine is taken back.

--- a/review/harness/cloud.go
+++ b/review/harness/cloud.go
@@ -163,12 +163,18 @@
 	return nil
 }
 
+// Take takes a spot machine back without notice.
+func (c *Cloud) Take(m *Machine) {
+	c.rec.Logf("cloud: takes %s back", m.Name)
+	c.end(m, "the machine was taken back")
+}
+
 // AddRunning adds a machine that is up from the start.
-func (c *Cloud) AddRunning(label, zone string) *Machine {
+func (c *Cloud) AddRunning(label, zone string, spot bool) *Machine {
 	c.mu.Lock()
 	for _, t := range c.types {
 		if t.Label == label {
-			m := &Machine{Name: fmt.Sprintf("vm-%06d", len(c.machines)+1), Type: label, Zone: zone, rented: time.Now().Add(-time.Hour)}
+			m := &Machine{Name: fmt.Sprintf("vm-%06d", len(c.machines)+1), Type: label, Zone: zone, Spot: spot, rented: time.Now().Add(-time.Hour)}
 			c.machines = append(c.machines, m)
 			c.mu.Unlock()
 			c.boot(m, t)
--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -45,7 +45,8 @@
 	Runs                             time.Duration // how long a task runs; 0: until it is stopped
 	MooringS, StowS                  float64
 	Spot                             bool
-	Zone                             string // the only allowed zone, if not empty
+	Types                            []string      // allowed machine types; nil: any
+	FirstRuns                        time.Duration // how long task 0 runs, if not 0
 }
 
 // Cluster is a deployment: controllers as processes, and stand-ins of all else.
@@ -347,8 +348,8 @@
 	body := object{"nameId": j.ID, "berth": j.Class, "crew": j.Team, "rig": j.Rig, "precedence": j.Precedence, "oars": j.Tasks, "cpus": j.CPUs,
 		"gpus": 0.0, "memGb": j.MemGB, "hull": j.Image, "pullGb": j.PullGB, "hullForms": nil, "harbour": nil, "oneZone": false, "apart": false,
 		"driftwood": j.Spot, "passageS": j.Runs.Seconds(), "mooringS": j.MooringS, "stowS": j.StowS, "tideS": nil}
-	if j.Zone != "" {
-		body["harbour"] = j.Zone
+	if j.Types != nil {
+		body["hullForms"] = j.Types
 	}
 	for i := range 30 {
 		status, _ := c.Request(at[i%len(at)], http.MethodPost, "/v2/runs", body, 5*time.Second)
--- a/review/harness/sites.go
+++ b/review/harness/sites.go
@@ -13,6 +13,10 @@
 	}
 }
 
+// Fjell8 is the larger machine type of Teoriprøve Nord.
+var Fjell8 = MachineType{Label: "fjell-8", CPUs: 8, MemGB: 64, LocalGB: 35, FetchGBs: 0.8, Rate: 0.58, SpotPrice: 0.2, ReadyS: 40,
+	Zones: []string{"oslo-vest"}}
+
 // BankRefresh returns an array of the class bank-refresh.
 func BankRefresh(id string, tasks int, runs time.Duration) Job {
 	return Job{ID: id, Class: "bank-refresh", Team: "scoring-team", Rig: "batch", Precedence: "standard", Tasks: tasks, CPUs: 2, MemGB: 6,
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -117,8 +117,8 @@
 		case "fetching":
 			w.images[t.job.Image] = true
 			t.State = "running"
-			if t.job.Runs > 0 {
-				t.due = now.Add(t.job.Runs)
+			if runs := t.runs(); runs > 0 {
+				t.due = now.Add(runs)
 			}
 			w.rec.Logf("%s: task %s launch %d starts", w.Name, t.Name, t.Attempt)
 			w.cluster.taskStarted(w, t)
@@ -132,6 +132,14 @@
 	}
 }
 
+// runs returns how long the task runs; 0: until it is stopped.
+func (t *Task) runs() time.Duration {
+	if t.job.FirstRuns > 0 && strings.HasSuffix(t.Name, "/0") {
+		return t.job.FirstRuns
+	}
+	return t.job.Runs
+}
+
 // end ends the worker and its tasks, as its machine is gone.
 func (w *Worker) end(reason string) {
 	w.mu.Lock()
@@ -156,11 +164,17 @@
 	return names
 }
 
-// Helm returns the highest token that the worker has seen.
-func (w *Worker) Helm() uint64 {
+// Room returns the CPUs and the memory that no task on the machine takes, fetching ones included.
+func (w *Worker) Room() (cpus, memGB float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.helm
+	cpus, memGB = w.kind.CPUs, w.kind.MemGB
+	for _, t := range w.tasks {
+		if t.State != "exited" {
+			cpus, memGB = cpus-t.job.CPUs, memGB-t.job.MemGB
+		}
+	}
+	return cpus, memGB
 }
 
 // status returns a report with the next number.
