Review: case 4, a waiting job keeps free room from all others

Cause: a starving job reserves the machine with most free CPUs in each round, whether or not what runs there will ever make way.

--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -18,6 +18,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"brasskeel/internal/protocol"
+	"brasskeel/internal/records"
 )
 
 // Settings are those of a small deployment.
@@ -339,6 +342,22 @@
 	return resp.StatusCode, string(reply)
 }
 
+// AddAccepted adds a job that was accepted some time ago: its description, and its record in the state
+// service as a controller writes it on acceptance.
+func (c *Cluster) AddAccepted(j Job, ago time.Duration) {
+	c.mu.Lock()
+	c.jobs[j.ID] = &j
+	c.mu.Unlock()
+	kinds := map[string]protocol.Kind{"batch": protocol.Batch, "daemon": protocol.Service}
+	priorities := map[string]protocol.Priority{"critical": protocol.Critical, "urgent": protocol.Urgent, "standard": protocol.Standard, "low": protocol.Low}
+	spec := &protocol.Job{ID: j.ID, Class: j.Class, Team: j.Team, Kind: kinds[j.Rig], Priority: priorities[j.Precedence], Tasks: j.Tasks, CPUs: j.CPUs,
+		MemoryGB: j.MemGB, Image: j.Image, ImageGB: j.PullGB, AllowSpot: j.Spot, EstimatedRuntime: j.Runs,
+		CheckpointInterval: protocol.Seconds(j.MooringS), CheckpointDuration: protocol.Seconds(j.StowS)}
+	record := records.Job{SubmittedAt: records.UnixMillis(time.Now().Add(-ago)), BlockSize: records.TasksPerBlock(8 << 10), Spec: spec}
+	c.State.Put(records.KeyActive(j.ID), records.Encode(record))
+	c.Rec.Logf("%s was accepted %v ago", j.ID, ago)
+}
+
 // ErrRejected means that a submission was answered with 400 or 422.
 var ErrRejected = errors.New("rejected")
 
--- a/review/harness/state.go
+++ b/review/harness/state.go
@@ -103,6 +103,15 @@
 	return s.keys[key].Value
 }
 
+// Put writes a key, as a controller does.
+func (s *State) Put(key string, value json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.keys[key] = stateItem{Key: key, Value: value, Version: s.revision}
+	s.note(change{Put: key, Value: value, Version: s.revision})
+}
+
 func (s *State) handle(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(2 * time.Millisecond)
 	path := r.URL.Path
